--- /dev/null
+++ b/mulleinrelay/interface.py
@@ -0,0 +1,161 @@
+"""The types that the decision module and its callers share. No decision and no tuned value stands here.
+
+A caller makes one `policy.Director(now, seed, terms)` for each director and calls
+`director.round(now, inbox, out)` with all that came in since the last call. `inbox` holds plain tuples
+(name of a Director method, arguments) in arrival order; `out` is a Writer. Times are milliseconds.
+"""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any, Protocol
+
+PURE, RECEIPTED, EFFECTFUL = "pure", "receipted", "effectful"
+
+
+class State(IntEnum):
+    READY = 0
+    GONE = 1
+    DRAINING = 2
+
+
+class Outcome(IntEnum):
+    """How a leg ended; the last four prove that it never ran."""
+
+    SATISFIED = 0
+    ERROR = 1
+    TIMEOUT = 2
+    RESET = 3
+    CANCELLED = 4
+    TURNED_AWAY = 5
+    UNCONNECTED = 6
+    MOOT = 7
+    MISS = 8
+
+    @property
+    def never_ran(self) -> bool:
+        return self >= Outcome.TURNED_AWAY
+
+
+class Note(IntEnum):
+    """What a cache tells of an answer's way, where it tells."""
+
+    NONE = 0
+    HIT = 1
+    FILLED = 2
+    FILLED_BY_ORIGIN = 3
+    JOINED = 4
+    STALE = 5
+    SOURCE_REFUSED = 6
+    SOURCE_LOST = 7
+    SOURCE_LACKS = 8
+    NO_PLACE = 9
+    ORIGIN_BROKE = 10
+
+
+@dataclass(slots=True, eq=False)
+class UseCase:
+    repeat: str  # PURE, RECEIPTED or EFFECTFUL
+    latency_goal: float
+    goal_stretch: float  # the goal grows by this multiple of the answer's own sending time
+    client_timeout: float
+    credit: float
+    late_share: float  # share of the credit for an answer past its latency goal
+    memory_span: float  # how long a receipted repeat is known
+    group: str  # which nodes know it: "all", "zone" or "cell"
+    fresh_for: float
+    never_kept: bool  # runs at the origin
+
+
+@dataclass(slots=True)
+class ColdRule:
+    """What a node that has just started can take."""
+
+    starts_at: float  # share of its capacity at the start
+    warm_in: float
+    multiple: float
+    span: float
+
+
+@dataclass(slots=True, eq=False)
+class Terms:
+    """What a director is told at its start about the service it stands in."""
+
+    use_cases: list[UseCase]
+    zone: int
+    rank: int
+    directors: int
+    directors_here: int  # in this director's own location
+    parent_kind: int
+    origin_kind: int
+    sized: bool  # the list tells sizes of nodes
+    flow: float  # KB a millisecond of one transfer; 0 where not told
+    legs_most: int
+    two_legs: bool  # a pure lookup may have two legs out at once
+    may_cancel: bool
+    may_probe: bool
+    may_advise: bool  # clients are told when to come back
+    advice_most: float
+    may_pass_by: bool
+    joins: bool
+    siblings: bool
+    notes_all: bool  # notes tell of fills, too
+    must_subscribe: bool
+    reports: list[str]  # names of a load report's values
+    cold_cache: ColdRule
+    cold_parent: ColdRule
+    purge_span: float
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """A cache, a parent or the origin, as the list tells of it."""
+
+    key: int
+    zone: int = -1
+    kind: int = -1
+    cell: int = -1
+    share: float = 1.0
+    state: State = State.GONE
+    started: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    lookup: "Lookup"
+    number: int
+    node: Node
+    source: Node | None
+    sent: float
+    timeout: float
+    outcome: Outcome | None = None
+    bag: Any = None  # the module's own notes on it
+
+
+@dataclass(slots=True, eq=False)
+class Lookup:
+    ticket: int  # the caller's own, for the way back
+    use_case: UseCase
+    key: int
+    part: int
+    group: int
+    size: float  # KB; 0 where not told
+    arrived: float
+    until: float  # when the client stops waiting
+    repeated: bool = False
+    ended: bool = False
+    legs: list[Leg] = field(default_factory=list)
+
+
+class Writer(Protocol):
+    """Where decisions go, one method an action."""
+
+    def send(self, leg: Leg, max_age: float, rank: int, join: bool, held_only: bool,
+             parent_keeps: bool, renew: bool) -> None: ...
+    def abandon(self, leg: Leg) -> None: ...
+    def push_back(self, lookup: Lookup, come_back: float) -> None: ...
+    def break_off(self, lookup: Lookup) -> None: ...
+    def wake(self, delay: float, about: Any) -> None: ...
+    def probe(self, node: Node) -> None: ...
+    def tell(self, rank: int | None, body: bytes) -> None: ...
+    def subscribe(self) -> None: ...
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/mulleinrelay/policy.py
@@ -0,0 +1,463 @@
+"""All decisions of one director.
+
+The caller makes a Director at a start and calls `round(now, inbox, out)` with all that came in: `inbox` holds
+tuples that name one of the methods under "What comes in" with its arguments, and decisions go to `out` at
+once. The shared types and the Writer stand in interface.py; Member is the module's own Node. Reading order:
+what comes in, the way of a lookup, which cache, which source, the guards, what is learnt.
+"""
+
+import math
+from collections import deque
+from random import Random
+from typing import Any
+
+from .interface import PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
+
+NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
+TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often: back within seconds, about 1 lookup in 20
+ORIGIN_TRIAL_EVERY = 2000.0  # the origin is passed over by rule and its bytes are priced, so it is asked less
+HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
+BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
+HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
+POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
+OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
+COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
+SICK_LEAST, SICK_SHARE = 2.0, 0.25  # bad outcomes, and their share of the recent ones, that shun a member
+GUARD = 6.0  # the final answer goes out so long before the client stops waiting
+PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
+
+
+class Histogram:
+    """Weights in bins that double in width, halved from time to time."""
+
+    __slots__ = ("bins", "halving", "due")
+
+    def __init__(self, halving: float) -> None:
+        self.bins, self.halving, self.due = [0.0] * 11, halving, 0.0
+
+    def age(self, now: float) -> None:
+        if now >= self.due:
+            times = 1 + int((now - self.due) / self.halving) if self.due else 0
+            if times:
+                self.bins = [weight * 0.5 ** min(times, 30) for weight in self.bins]
+            self.due = now + self.halving
+
+    def add(self, now: float, value: float) -> None:
+        self.age(now)
+        self.bins[min(10, max(0, int(max(value, 1.0)).bit_length() - 3))] += 1.0
+
+    def mean(self, now: float) -> float | None:
+        self.age(now)
+        weight = sum(self.bins)
+        if weight < 0.1:
+            return None
+        return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)) / weight
+
+
+class Member(Node):
+    """A cache, parent or the origin with what this director has seen of it."""
+
+    def __init__(self, key: int) -> None:
+        super().__init__(key)
+        self.reset()
+
+    def reset(self) -> None:
+        self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
+        self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
+        self.heard = 0.0
+        self.shunned = False
+        self.trial_due = 0.0
+        self.out: dict[Leg, None] = {}
+        self.spent: deque[tuple[float, float]] = deque()  # what this director sent it while cold
+        self.load: dict[str, float] = {}
+
+
+def mix(*parts: int) -> int:
+    """A 64-bit hash that every director computes alike."""
+    state = 0x9E3779B97F4A7C15
+    for part in parts:
+        state = (state ^ part) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+        state = (state ^ state >> 29) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+        state ^= state >> 32
+    return state
+
+
+class Director:
+    def __init__(self, now: float, seed: int, terms: Terms) -> None:
+        self.terms, self.now, self.random = terms, now, Random(seed)
+        self.members: dict[Member, None] = {}
+        self.caches: list[Member] = []
+        self.parents: list[Member] = []
+        self.origin: Member | None = None
+        self.counts: dict[tuple[int, int], int] = {}
+        self.older: dict[tuple[int, int], int] = {}
+        self.total, self.older_total, self.span_ends = 0, 0, now + POPULAR_SPAN
+        self.beliefs: dict[tuple[int, int], dict[Member, float]] = {}
+        self.purged_keys: dict[int, float] = {}
+        self.purged_groups: dict[int, float] = {}
+        self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
+        self.subscribed = not terms.must_subscribe
+        self.out: Writer
+
+    # What comes in
+
+    def round(self, now: float, inbox: list[tuple[str, tuple[Any, ...]]], out: Writer) -> None:
+        self.now, self.out = now, out
+        if not self.subscribed:
+            self.subscribed = True
+            out.subscribe()
+        for method, arguments in inbox:
+            getattr(self, method)(*arguments)
+
+    def listed(self, rows: list[tuple[Any, ...]], whole: bool, broken: bool) -> None:
+        if broken:
+            self.subscribed = False
+            return
+        if whole:
+            for member in self.members:
+                member.state = State.GONE
+        for member, state, share, kind, zone, cell, started in rows:
+            if started != member.started and member in self.members:
+                member.reset()
+            member.state, member.share, member.kind = state, share, kind
+            member.zone, member.cell, member.started = zone, cell, started
+            self.members[member] = None
+        ready = [member for member in self.members if member.state == State.READY]
+        kinds = (self.terms.parent_kind, self.terms.origin_kind)
+        self.caches = [m for m in ready if m.kind not in kinds and m.zone == self.terms.zone]
+        self.parents = [m for m in ready if m.kind == self.terms.parent_kind]
+        self.origin = next((m for m in ready if m.kind == self.terms.origin_kind), None)
+
+    def looked_up(self, lookup: Lookup) -> None:
+        if self.now >= self.span_ends:
+            self.turn_span()
+        spot = (lookup.key, lookup.part)
+        self.counts[spot] = self.counts.get(spot, 0) + 1
+        self.total += 1
+        if lookup.size and self.terms.flow:
+            known = self.sending[lookup.use_case]
+            known[0] += lookup.size / self.terms.flow
+            known[1] += 1
+        self.out.wake(max(0.0, lookup.until - self.now - GUARD), lookup)
+        self.route(lookup)
+
+    def answered(self, leg: Leg, outcome: Outcome, wait: float, closed: bool, note: Note, first_byte: float,
+                 load: dict[str, float] | None) -> None:
+        lookup, leg.outcome = leg.lookup, outcome
+        leg.node.out.pop(leg, None)
+        if load:
+            leg.node.load = load
+        self.learn(leg, wait, note, first_byte)
+        if closed:
+            self.end(lookup)
+        elif not lookup.ended and not any(other.outcome is None for other in lookup.legs):
+            if self.now >= lookup.until - GUARD:
+                self.give_up(lookup)
+            else:
+                self.route(lookup)
+
+    def opened(self, leg: Leg, wait: float) -> None:
+        leg.node.heard = self.now
+
+    def left(self, lookup: Lookup) -> None:
+        self.end(lookup)
+
+    def woken(self, about: Lookup | Leg) -> None:
+        if isinstance(about, Lookup):
+            if not about.ended:
+                self.give_up(about)
+        elif about.outcome is None and not about.lookup.ended:
+            self.check(about)
+
+    def probed(self, member: Member, well: bool, wait: float, load: dict[str, float] | None) -> None:
+        if load:
+            member.load = load
+
+    def purged(self, key: int, group: int, age: float) -> None:
+        book, name = (self.purged_keys, key) if key else (self.purged_groups, group)
+        book[name] = max(book.get(name, 0.0), self.now - age)
+
+    def heard(self, rank: int, body: bytes) -> None:
+        pass
+
+    # The way of a lookup
+
+    def route(self, lookup: Lookup) -> None:
+        """Sends the next leg, or ends the lookup where none is left that may go."""
+        if len(lookup.legs) >= self.terms.legs_most or not self.may_send(lookup):
+            return self.give_up(lookup)
+        if lookup.use_case.never_kept:
+            return self.route_write(lookup)
+        cache = self.choose_cache(lookup)
+        if cache is not None:
+            source, held_only = self.choose_source(lookup, cache)
+            return self.send(lookup, cache, source, held_only)
+        source, _ = self.choose_source(lookup, None)
+        if source is None or not self.terms.may_pass_by:
+            return self.give_up(lookup)
+        return self.send(lookup, source, source, False)
+
+    def route_write(self, lookup: Lookup) -> None:
+        if self.origin is None:
+            return self.give_up(lookup)
+        if self.terms.may_pass_by:
+            return self.send(lookup, self.origin, self.origin, False)
+        cache = self.choose_cache(lookup)
+        if cache is None:
+            return self.give_up(lookup)
+        return self.send(lookup, cache, self.origin, False)
+
+    def send(self, lookup: Lookup, node: Member, source: Member | None, held_only: bool) -> None:
+        leg = Leg(lookup, len(lookup.legs), node, source, self.now, lookup.until - self.now)
+        lookup.legs.append(leg)
+        node.out[leg] = None
+        work = self.work(lookup)
+        self.spend(node, work)
+        if source is not None and source is not node:
+            self.spend(source, work)
+        if node.zone == self.terms.zone:
+            keep = self.rank(lookup)
+        else:
+            keep = 0
+        join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
+        renew = lookup.use_case.fresh_for > 0
+        self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
+        goal_left = lookup.arrived + self.goal(lookup) - self.now
+        cut = max(goal_left - 1.2 * work - 50.0, 150.0)
+        if cut < leg.timeout:
+            self.out.wake(cut, leg)
+
+    def check(self, leg: Leg) -> None:
+        """A leg is out for long: where nothing was heard of its node or source since, it goes elsewhere."""
+        source = leg.source if leg.source is not None and leg.source is not leg.node else None
+        if leg.node.heard < leg.sent:
+            self.mark(leg.node, 2.0, "silent")
+        elif source is not None and source.heard < leg.sent:
+            self.mark(source, 1.0, "silent")
+            source.recent.add(self.now, leg.timeout)
+        else:
+            return
+        lookup = leg.lookup
+        if self.terms.two_legs and lookup.use_case.repeat != "effectful":
+            self.route(lookup)
+        elif self.terms.may_cancel and lookup.use_case.repeat != "effectful":
+            self.out.abandon(leg)
+
+    def give_up(self, lookup: Lookup) -> None:
+        case = lookup.use_case
+        harmless = case.repeat == PURE or all(
+            leg.outcome is not None and leg.outcome.never_ran for leg in lookup.legs)
+        if harmless or (case.repeat == RECEIPTED and case.group == "all"):
+            self.out.push_back(lookup, min(300.0, self.terms.advice_most) if self.terms.may_advise else 0.0)
+        else:
+            self.out.break_off(lookup)
+        self.end(lookup)
+
+    def end(self, lookup: Lookup) -> None:
+        lookup.ended = True
+        for leg in lookup.legs:
+            if leg.outcome is None and self.terms.may_cancel:
+                self.out.abandon(leg)
+
+    def may_send(self, lookup: Lookup) -> bool:
+        """Whether another leg can do no harm."""
+        doubtful = [leg for leg in lookup.legs if leg.outcome is None or not leg.outcome.never_ran]
+        case = lookup.use_case
+        if not doubtful or case.repeat == PURE:
+            return True
+        in_span = self.now < doubtful[0].sent + case.memory_span - GUARD
+        return case.repeat == RECEIPTED and case.group == "all" and in_span
+
+    # Which cache
+
+    def choose_cache(self, lookup: Lookup) -> Member | None:
+        ranked = self.by_hash(self.caches, lookup.key, lookup.part)
+        work = self.work(lookup)
+        tried = {leg.node.key for leg in lookup.legs if leg.outcome != Outcome.MISS}
+        fit = [member for member in ranked if member.key not in tried and self.usable(member, work)]
+        if not fit:
+            return None
+        spread = 1 + int(self.popularity(lookup) / HOT_SHARE)
+        if spread == 1:
+            return fit[0]
+        return min(fit[:spread], key=lambda member: len(member.out) / max(member.share, 0.1))
+
+    def by_hash(self, members: list[Member], *what: int) -> list[Member]:
+        """Rendezvous order, weighted by size and by how warm a member is: a lost one moves only its own."""
+        return sorted(members, key=lambda member: -math.log((mix(*what, member.key) + 1) / 2.0 ** 64)
+                      / max(member.share * self.warmth(member), 1e-3))
+
+    def popularity(self, lookup: Lookup) -> float:
+        count = self.count(lookup)
+        return count / (self.total + 0.5 * self.older_total) if count >= 4 else 0.0
+
+    def count(self, lookup: Lookup) -> float:
+        spot = (lookup.key, lookup.part)
+        return self.counts.get(spot, 0) + 0.5 * self.older.get(spot, 0)
+
+    def turn_span(self) -> None:
+        self.older, self.counts = self.counts, {}
+        self.older_total, self.total = self.total, 0
+        self.span_ends = self.now + POPULAR_SPAN
+        self.beliefs = {spot: held for spot, held in self.beliefs.items()
+                        if any(self.now - at < BELIEF_AGE for at in held.values())}
+        for book in (self.purged_keys, self.purged_groups):
+            for name in [name for name, at in book.items() if self.now - at > 2 * self.terms.purge_span]:
+                del book[name]
+
+    def rank(self, lookup: Lookup) -> int:
+        """Kept by evidence that it is wanted again, so that what is asked for once wipes nothing."""
+        known = self.sending[lookup.use_case]
+        count = self.count(lookup)
+        if count < 2 and known[1] and self.work(lookup) > OVERSIZED * known[0] / known[1]:
+            return 0
+        return 1 if count < 2 else 2
+
+    # Which source
+
+    def choose_source(self, lookup: Lookup, cache: Member | None) -> tuple[Member | None, bool]:
+        work = self.work(lookup)
+        average = self.average()
+        tried = {leg.source.key for leg in lookup.legs
+                 if leg.source is not None and leg.outcome != Outcome.SATISFIED}
+        if cache is not None and self.terms.siblings:
+            held = self.beliefs.get((lookup.key, lookup.part), {})
+            since = max(self.now - BELIEF_AGE, self.purge_moment(lookup))
+            if held.get(cache, 0.0) <= since:
+                limit = self.delay(cache, average) + NEAR
+                for sibling, at in held.items():
+                    if (at > since and sibling is not cache and sibling.key not in tried
+                            and sibling.state == State.READY and self.delay(sibling, average) <= limit
+                            and self.usable(sibling, work)):
+                        return sibling, True
+        ranked = [m for m in self.by_hash(self.parents, lookup.key, lookup.part) if m.key not in tried]
+        fit = [member for member in ranked if self.usable(member, work)]
+        origin = self.origin
+        if origin is None or not fit:
+            return (origin or (fit[0] if fit else None)), False
+        if self.now >= origin.trial_due:
+            origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
+            return origin, False
+        measured = origin.recent.mean(self.now)
+        if measured is not None and all(self.delay(m, average) > measured + NEAR for m in self.parents):
+            return self.trial(fit) or origin, False
+        for member in fit:
+            if self.delay(member, average) <= self.usual(member, average) + NEAR or self.due(member):
+                return member, False
+        return fit[0], False
+
+    def trial(self, members: list[Member]) -> Member | None:
+        return next((member for member in members if self.due(member)), None)
+
+    def due(self, member: Member) -> bool:
+        if self.now < member.trial_due:
+            return False
+        member.trial_due = self.now + TRIAL_EVERY
+        return True
+
+    def delay(self, member: Member, average: float) -> float:
+        mean = member.recent.mean(self.now)
+        return average if mean is None else mean
+
+    def usual(self, member: Member, average: float) -> float:
+        mean = member.usual.mean(self.now)
+        return average if mean is None else mean
+
+    def average(self) -> float:
+        means = [mean for m in self.members if (mean := m.recent.mean(self.now)) is not None]
+        return sum(means) / len(means) if means else 0.0
+
+    # The guards
+
+    def usable(self, member: Member, work: float) -> bool:
+        if member.shunned and not self.due(member):
+            return False
+        return self.has_room(member, work)
+
+    def warmth(self, member: Member) -> float:
+        rule = self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
+        if not member.started or member.kind == self.terms.origin_kind:
+            return 1.0
+        return min(1.0, rule.starts_at + (1.0 - rule.starts_at) * (self.now - member.started) / rule.warm_in)
+
+    def has_room(self, member: Member, work: float) -> bool:
+        """A cold member gets this director's part of what it can do now, over any span of the rule."""
+        warmth = self.warmth(member)
+        if warmth >= 1.0:
+            return True
+        parent = member.kind == self.terms.parent_kind
+        rule = self.terms.cold_parent if parent else self.terms.cold_cache
+        while member.spent and member.spent[0][0] < self.now - rule.span:
+            member.spent.popleft()
+        sharers = self.terms.directors if parent else self.terms.directors_here
+        room = COLD_FILL * member.share * warmth * rule.span / sharers
+        return sum(spent for _, spent in member.spent) + work <= room
+
+    def spend(self, member: Member, work: float) -> None:
+        if member.started and self.warmth(member) < 1.0:
+            member.spent.append((self.now, work))
+
+    def purge_moment(self, lookup: Lookup) -> float:
+        return max(self.purged_keys.get(lookup.key, 0.0), self.purged_groups.get(lookup.group, 0.0))
+
+    def max_age(self, lookup: Lookup) -> float:
+        """Bounds the copy by the last purge; 0 would mean any age, so the bound stays above it."""
+        moment = self.purge_moment(lookup)
+        if not moment or self.now - moment > 1.5 * self.terms.purge_span:
+            return 0.0
+        bound = max(0.01, self.now - moment - PURGE_MARGIN)
+        return min(bound, lookup.use_case.fresh_for or bound)
+
+    # What is learnt
+
+    def work(self, lookup: Lookup) -> float:
+        """The sending time of the answer at full pace."""
+        if lookup.size and self.terms.flow:
+            return lookup.size / self.terms.flow
+        total, number = self.sending[lookup.use_case]
+        return total / number if number else lookup.use_case.latency_goal / 4
+
+    def goal(self, lookup: Lookup) -> float:
+        case = lookup.use_case
+        return min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
+
+    def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
+        outcome, node, source = leg.outcome, leg.node, leg.source
+        spot = (leg.lookup.key, leg.lookup.part)
+        held = self.beliefs.get(spot, {})
+        if outcome in (Outcome.SATISFIED, Outcome.MISS, Outcome.TURNED_AWAY, Outcome.ERROR):
+            node.heard = self.now
+        if outcome == Outcome.SATISFIED:
+            self.mark(node, 0.0, "")
+            if self.rank(leg.lookup) or note == Note.HIT:
+                self.beliefs.setdefault(spot, {})[node] = self.now
+            if source is not None and source is not node and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
+                delay = first_byte if self.terms.notes_all else max(1.0, wait - self.work(leg.lookup))
+                source.heard = self.now
+                source.recent.add(self.now, delay)
+                source.usual.add(self.now, delay)
+                self.mark(source, 0.0, "")
+            return
+        held.pop(node, None)
+        if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
+            self.mark(node, 2.0, outcome.name.lower())
+        elif outcome == Outcome.ERROR:
+            self.mark(node, 1.0, "error")
+        if source is None or source is node or outcome in (Outcome.CANCELLED, Outcome.MOOT):
+            return
+        if note == Note.SOURCE_LACKS or (outcome == Outcome.MISS and note == Note.NONE):
+            held.pop(source, None)
+        elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.ORIGIN_BROKE):
+            source.recent.add(self.now, leg.timeout)
+            self.mark(source, 1.0, note.name.lower())
+
+    def mark(self, member: Member, bad: float, why: str) -> None:
+        """Keeps the share of bad outcomes; a member over the limit is shunned until trials go well."""
+        member.health.age(self.now)
+        bins = member.health.bins
+        bins[1 if bad else 0] += bad or 1.0
+        sick = bins[1] >= SICK_LEAST and bins[1] > SICK_SHARE * (bins[0] + bins[1])
+        if sick != member.shunned:
+            member.shunned, member.trial_due = sick, self.now + TRIAL_EVERY
+            word = f"shunned ({why})" if sick else "taken back"
+            self.out.log(f"member {member.key:x} {word}: {bins[1]:.1f} bad, {bins[0]:.1f} good lately")
--- /dev/null
+++ b/mulleinrelay/wirehost.py
@@ -0,0 +1,234 @@
+"""The loop on the simulator's wire: it hosts instances and turns records into calls on the module."""
+
+import gc
+import json
+import sys
+from typing import Any, BinaryIO
+
+from . import wire
+from .interface import (
+    EFFECTFUL,
+    PURE,
+    RECEIPTED,
+    ColdRule,
+    Leg,
+    Lookup,
+    Node,
+    Note,
+    Outcome,
+    State,
+    Terms,
+    UseCase,
+)
+from .policy import Director, Member
+
+REPEAT = {"safe": PURE, "keyed": RECEIPTED, "unsafe": EFFECTFUL}
+OUTCOMES = {0: Outcome.SATISFIED, 5: Outcome.ERROR, 11: Outcome.TURNED_AWAY, 110: Outcome.TIMEOUT,
+            111: Outcome.UNCONNECTED, 104: Outcome.RESET, 125: Outcome.CANCELLED, 114: Outcome.MOOT,
+            2: Outcome.MISS}
+NOTES = {int(note): note for note in Note}
+FAILED_LIST, DELTA = 3, 2
+REPORT_WORDS = {"busy_reqs": "held", "cpu_share": "busy", "x1": "crowding"}
+JOIN, HELD_ONLY, PARENT_DROPS, RENEW = 1, 2, 4, 8
+EVERY = 0xFFFFFFFF
+
+
+def read_terms(text: bytes) -> Terms:
+    """The start settings in the project's own words; a missing one is named."""
+    try:
+        boot = json.loads(text)
+        allowed, domain, rules, report = boot["allowed"], boot["domain"], boot["rules"], boot["report"]
+        use_cases = [
+            UseCase(REPEAT[case["idempotency"]], case["slo"], case.get("aimStretch", 0.0), case["deadline"],
+                    case["credit"], case["lateWorth"], case["memorySpan"], case["group"],
+                    domain["freshFor"][at], domain["neverKept"][at])
+            for at, case in enumerate(boot["classes"])]
+        return Terms(
+            use_cases=use_cases, zone=boot["myZone"], rank=boot["rank"], directors=boot["balancers"],
+            directors_here=max(1, domain["countByZone"][boot["myZone"]]),
+            parent_kind=domain["midKind"], origin_kind=domain["storeKind"],
+            sized=boot["weights"] != "none", flow=domain["oneFlowKbPerS"] / 1000.0,
+            legs_most=allowed["maxAttempts"], two_legs=allowed["mayDuplicate"],
+            may_cancel=allowed["cancel"], may_probe=allowed["mayProbe"], may_advise=allowed["retryAfter"],
+            advice_most=allowed["maxRetryAfter"], may_pass_by=domain["mayPassBy"],
+            joins=domain["collapses"], siblings=domain["peersFill"] != "none",
+            notes_all=domain["noteLevel"] == "all", must_subscribe=boot["registryMode"] == "subscribe",
+            reports=[REPORT_WORDS.get(word, word) for word in report["columns"]],
+            cold_cache=ColdRule(rules["coldFrom"], rules["cold"], rules["fallMultiple"],
+                                rules["overloadFor"]),
+            cold_parent=ColdRule(domain["parentStartsAt"], domain["parentWarmsIn"],
+                                 domain["parentLimitFactor"], rules["overloadFor"]),
+            purge_span=domain["purgeTakes"])
+    except KeyError as missing:
+        raise wire.WireError(f"bootInfo lacks the key {missing}") from None
+    except (ValueError, TypeError, IndexError) as wrong:
+        raise wire.WireError(f"bootInfo cannot be read: {wrong}") from None
+
+
+class Instance:
+    """One director with the ids of its lookups, nodes and timers; the Writer of its module."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.reply = wire.Reply()
+        self.lookups: dict[int, Lookup] = {}
+        self.nodes: dict[bytes, Member] = {}
+        self.timers: dict[int, Any] = {}
+        self.timer_count = 0
+        self.inbox: list[tuple[str, tuple[Any, ...]]] = []
+        self.touched: list[Lookup] = []
+        self.director: Director | None = None
+
+    def node(self, address: bytes) -> Member:
+        found = self.nodes.get(address)
+        if found is None:
+            found = self.nodes[address] = Member(int.from_bytes(address, "big"))
+        return found
+
+    def load(self, count: int, values: tuple[float, ...]) -> dict[str, float] | None:
+        assert self.director is not None
+        return dict(zip(self.director.terms.reports, values[:count], strict=False)) if count else None
+
+    def take(self, now: float, code: int, fields: tuple[Any, ...], banks: dict[int, list[Any]]) -> None:
+        call = self.inbox.append
+        if code == wire.BEGIN:
+            self.director = Director(now, fields[0], read_terms(fields[1]))
+        elif self.director is None:
+            return
+        elif code == wire.NEW_REQUEST:
+            ticket, case, _, key, left, size, group, part, bits = fields
+            use_case = self.director.terms.use_cases[case]
+            lookup = Lookup(ticket, use_case, key, int(part), int(group), size, now, now + left,
+                            bool(bits & 2))
+            self.lookups[ticket] = lookup
+            call(("looked_up", (lookup,)))
+        elif code == wire.ANSWER:
+            ticket, number, _, status, wait, closed, note, first_byte, count, *values = fields
+            lookup = self.lookups[ticket]
+            leg = lookup.legs[number]
+            self.touched.append(lookup)
+            outcome = OUTCOMES.get(status, Outcome.ERROR)
+            call(("answered", (leg, outcome, wait, bool(closed), NOTES.get(note, Note.NONE), first_byte,
+                               self.load(count, tuple(values)))))
+        elif code == wire.FIRED:
+            call(("woken", (self.timers.pop(fields[0]),)))
+        elif code == wire.VANISHED:
+            lookup = self.lookups.get(fields[0])
+            if lookup is not None:
+                self.touched.append(lookup)
+                call(("left", (lookup,)))
+        elif code == wire.MEMBERSHIP:
+            bank, how, _ = fields
+            rows = [] if how == FAILED_LIST else [
+                (self.node(address), State(state), share, kind, zone, cell, started)
+                for cell, kind, share, address, state, started, zone in banks[bank]]
+            call(("listed", (rows, how != DELTA, how == FAILED_LIST)))
+        elif code == wire.PONG:
+            address, status, wait, count, *values = fields
+            call(("probed", (self.node(address), status == 0, wait, self.load(count, tuple(values)))))
+        elif code == wire.STRUCK_OUT:
+            call(("purged", (fields[0], fields[1], fields[2])))
+        elif code == wire.PEER_DATA:
+            call(("heard", (fields[0], fields[1])))
+        elif code == wire.OPENED:
+            call(("opened", (self.lookups[fields[0]].legs[fields[2]], fields[3])))
+
+    def play(self, now: float) -> None:
+        if self.director is not None:
+            self.director.round(now, self.inbox, self)
+        self.inbox = []
+        self.forget()
+
+    def forget(self) -> None:
+        """Drops the tickets whose lookups are over and have no leg out."""
+        for lookup in self.touched:
+            if lookup.ended and all(leg.outcome is not None for leg in lookup.legs):
+                self.lookups.pop(lookup.ticket, None)
+        self.touched = []
+
+    def send(self, leg: Leg, max_age: float, rank: int, join: bool, held_only: bool,
+             parent_keeps: bool, renew: bool) -> None:
+        opts = JOIN * join + HELD_ONLY * held_only + PARENT_DROPS * (not parent_keeps) + RENEW * renew
+        source = leg.source or leg.node
+        self.reply.add(wire.DELIVER_VIA, leg.lookup.ticket, max_age, leg.node.key.to_bytes(6, "big"), opts,
+                       source.key.to_bytes(6, "big"), leg.timeout, rank)
+
+    def abandon(self, leg: Leg) -> None:
+        self.reply.add(wire.ABANDON, leg.lookup.ticket, leg.number)
+
+    def push_back(self, lookup: Lookup, come_back: float) -> None:
+        self.touched.append(lookup)
+        self.reply.add(wire.REFUSE, lookup.ticket, come_back)
+
+    def break_off(self, lookup: Lookup) -> None:
+        self.touched.append(lookup)
+        self.reply.add(wire.SURRENDER, lookup.ticket)
+
+    def wake(self, delay: float, about: Any) -> None:
+        self.timer_count += 1
+        self.timers[self.timer_count] = about
+        self.reply.add(wire.SET_TIMER, self.timer_count, delay)
+
+    def probe(self, node: Node) -> None:
+        self.reply.add(wire.ASK_LOAD, node.key.to_bytes(6, "big"))
+
+    def tell(self, rank: int | None, body: bytes) -> None:
+        self.reply.add_bytes(wire.POST, body, EVERY if rank is None else rank)
+
+    def subscribe(self) -> None:
+        self.reply.add(wire.KEEP_INFORMED, 1)
+
+    def log(self, text: str) -> None:
+        self.reply.add_bytes(wire.NOTE_DOWN, text.encode())
+
+
+def answer_batch(now: float, events: list[tuple[int, tuple[Any, ...]]], instances: dict[int, Instance],
+                 banks: dict[int, list[Any]]) -> wire.Reply:
+    """Plays one batch: every instance with an event gets one round, in the order of first mention."""
+    reply, touched, current = wire.Reply(), {}, None
+    for code, fields in events:
+        if code == wire.SELECT:
+            current = instances.setdefault(fields[0], Instance(fields[0]))
+            touched[current.number] = current
+        elif code == wire.LEDGER:
+            banks[fields[0]] = fields[1]
+        elif current is None:
+            raise wire.WireError(f"a record of code {code} stands before any select")
+        elif code == wire.HALT or (code == wire.BEGIN and current.director is not None):
+            current = touched[current.number] = instances[current.number] = Instance(current.number)
+            if code == wire.BEGIN:
+                current.take(now, code, fields, banks)
+        else:
+            current.take(now, code, fields, banks)
+    for instance in touched.values():
+        instance.reply = reply
+        reply.add(wire.INSTANCE, instance.number)
+        try:
+            instance.play(now)
+        except Exception as broken:  # the module's own failure is the wire's `fault`
+            text = " ".join(f"{type(broken).__name__}: {broken}".split())
+            reply.add_bytes(wire.FAULT, text.encode())
+    return reply
+
+
+def serve(stream: BinaryIO, out: BinaryIO) -> None:
+    instances: dict[int, Instance] = {}
+    banks: dict[int, list[Any]] = {}
+    while (batch := wire.read_frame(stream)) is not None:
+        now, number, events = batch
+        out.write(answer_batch(now, events, instances, banks).frame(number))
+        out.flush()
+
+
+def main() -> int:
+    gc.freeze()
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except wire.WireError as wrong:
+        print(f"wirehost: {wrong}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,112 @@
+import pytest
+from helpers import CACHE, PARENT, Fleet
+
+from mulleinrelay.interface import EFFECTFUL, PURE, RECEIPTED, Note, Outcome, State
+
+
+@pytest.mark.parametrize(
+    "repeat, group, outcome, legs, final",
+    [
+        (PURE, "all", Outcome.ERROR, 2, None),
+        (RECEIPTED, "all", Outcome.ERROR, 2, None),
+        (RECEIPTED, "zone", Outcome.ERROR, 1, "break_off"),
+        (RECEIPTED, "zone", Outcome.TURNED_AWAY, 2, None),
+        (EFFECTFUL, "all", Outcome.RESET, 1, "break_off"),
+        (EFFECTFUL, "all", Outcome.UNCONNECTED, 2, None),
+    ],
+)
+def test_further_legs_go_only_as_far_as_the_use_case_permits(repeat, group, outcome, legs, final):
+    fleet = Fleet(repeat, group)
+    lookup = fleet.look_up()
+    fleet.answer(lookup.legs[0], outcome, Note.NONE, after=20)
+    assert len(lookup.legs) == legs
+    assert [name for name, _ in fleet.out.actions if name in ("push_back", "break_off")] == [final] * bool(
+        final
+    )
+
+
+def test_a_receipted_lookup_is_not_sent_again_past_its_memory_span():
+    fleet = Fleet(RECEIPTED)
+    lookup = fleet.look_up()
+    fleet.answer(lookup.legs[0], Outcome.ERROR, Note.NONE, after=5000)
+    assert len(lookup.legs) == 1 and lookup.ended
+
+
+def test_one_final_answer_before_the_client_stops_waiting():
+    fleet = Fleet()
+    lookup = fleet.look_up(left=900.0)
+    delay = max(delay for delay, about in fleet.out.take("wake") if about is lookup)
+    assert delay < 900.0
+    fleet.call("woken", lookup, after=delay)
+    fleet.answer(lookup.legs[0], Outcome.CANCELLED, Note.NONE, after=1)
+    fleet.call("left", lookup, after=100)
+    assert len(fleet.out.take("push_back")) == 1 and not fleet.out.take("break_off")
+    assert len(lookup.legs) == 1
+
+
+@pytest.mark.parametrize("change", [State.DRAINING, State.GONE, None])
+def test_nothing_goes_to_a_drained_or_removed_node(change):
+    fleet = Fleet()
+    if change is None:
+        kept = [fleet.row(fleet.caches[0], CACHE, 1), fleet.row(fleet.parents[0], PARENT, 0)]
+        fleet.call("listed", kept, True, False)
+    else:
+        fleet.call(
+            "listed",
+            [fleet.row(m, CACHE, 1, state=change) for m in fleet.caches[1:]]
+            + [fleet.row(fleet.parents[1], PARENT, 0, state=change)],
+            False,
+            False,
+        )
+    for _ in range(60):
+        leg = fleet.look_up().legs[0]
+        assert leg.node is fleet.caches[0] and leg.source is not fleet.parents[1]
+
+
+@pytest.mark.parametrize("caches_cold, hubs_cold", [(True, False), (False, True)])
+def test_a_cold_member_gets_less_than_it_can_bear(caches_cold, hubs_cold):
+    fleet = Fleet(started=100000.0 * caches_cold, hub_started=100000.0 * hubs_cold)
+    sent = {member: 0.0 for member in [fleet.caches[0], *fleet.parents]}
+    for _ in range(300):
+        leg = fleet.look_up(size=500.0, after=5).legs[0]
+        for member in {leg.node, leg.source} & set(sent):
+            sent[member] += 50.0
+        fleet.answer(leg, note=Note.FILLED, first_byte=30.0)
+    member, rule = (
+        (fleet.caches[0], fleet.terms.cold_cache)
+        if caches_cold
+        else (fleet.parents[0], fleet.terms.cold_parent)
+    )
+    sharers = 1 if caches_cold else 3
+    assert sent[member] <= rule.multiple * 6.0 * rule.starts_at * 1500.0 / sharers * 1.2
+
+
+@pytest.mark.parametrize("key, group", [(77, 1), (0, 1)])
+def test_a_purge_bounds_the_copy_and_zero_is_never_sent_for_it(key, group):
+    fleet = Fleet()
+    fleet.call("purged", key, group, 40.0)
+    for after in (0.0, 0.5, 30.0, 1000.0, 4000.0):
+        fleet.look_up(key=77, after=after)
+        age = fleet.out.take("send")[-1][1]
+        assert 0.0 < age <= fleet.now - 100000.0 + 40.0
+
+
+def test_a_believed_sibling_is_the_source_and_asked_only_for_what_it_holds():
+    fleet = Fleet()
+    first = fleet.look_up(key=5)
+    owner = first.legs[0].node
+    fleet.answer(first.legs[0], Outcome.TURNED_AWAY, Note.NO_PLACE)
+    fleet.answer(first.legs[1], note=Note.FILLED, first_byte=20.0)
+    fleet.out.take("send")
+    again = fleet.look_up(key=5)
+    assert again.legs[0].node is owner and again.legs[0].source is first.legs[1].node
+    assert fleet.out.take("send")[0][4] is True
+
+
+def test_a_silent_cache_is_left_at_once_and_shunned():
+    fleet = Fleet()
+    lookup = fleet.look_up()
+    leg = lookup.legs[0]
+    delay = next(delay for delay, about in fleet.out.take("wake") if about is leg)
+    fleet.call("woken", leg, after=delay)
+    assert len(lookup.legs) == 2 and lookup.legs[1].node is not leg.node and leg.node.shunned
