Bound further legs by a budget earned by lookups

It guards against any storm of repeats that this director would add to; it could harm where one quick fault of many members wants many legs at once.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -23,6 +23,7 @@
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
 SICK_LEAST, SICK_SHARE = 2.0, 0.25  # bad outcomes, and their share of the recent ones, that shun a member
+AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
 
@@ -97,6 +98,7 @@
         self.purged_groups: dict[int, float] = {}
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed = not terms.must_subscribe
+        self.again = AGAIN_MOST  # further legs that may go now
         self.out: Writer
 
     # What comes in
@@ -134,6 +136,7 @@
         spot = (lookup.key, lookup.part)
         self.counts[spot] = self.counts.get(spot, 0) + 1
         self.total += 1
+        self.again = min(AGAIN_MOST, self.again + AGAIN_EARNED)
         if lookup.size and self.terms.flow:
             known = self.sending[lookup.use_case]
             known[0] += lookup.size / self.terms.flow
@@ -186,6 +189,10 @@
         """Sends the next leg, or ends the lookup where none is left that may go."""
         if len(lookup.legs) >= self.terms.legs_most or not self.may_send(lookup):
             return self.give_up(lookup)
+        if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
+            if self.again < 1.0:
+                return self.give_up(lookup)
+            self.again -= 1.0
         if lookup.use_case.never_kept:
             return self.route_write(lookup)
         cache = self.choose_cache(lookup)
