Split the blame for a bad leg between cache and source; never run out of members

Cause: a failing parent shows as errors at every cache (notes do not tell where they are sparse), so all caches were shunned and lookups pushed back or sent past the parents. A leg due to hit now blames its cache alone, any other its cache and source by half; where all are shunned all are used. Should cover any fault that shows at one tier and lies in another; could harm when a cache fails only in its fills, which takes twice as long to see.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -22,7 +22,7 @@
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
-SICK_LEAST, SICK_SHARE = 2.0, 0.25  # bad outcomes, and their share of the recent ones, that shun a member
+SICK_LEAST, SICK_SHARE = 2.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
 AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
@@ -216,6 +216,7 @@
 
     def send(self, lookup: Lookup, node: Member, source: Member | None, held_only: bool) -> None:
         leg = Leg(lookup, len(lookup.legs), node, source, self.now, lookup.until - self.now)
+        leg.bag = self.holds(node, lookup)
         lookup.legs.append(leg)
         node.out[leg] = None
         work = self.work(lookup)
@@ -238,8 +239,8 @@
         """A leg is out for long: where nothing was heard of its node or source since, it goes elsewhere."""
         source = leg.source if leg.source is not None and leg.source is not leg.node else None
         if leg.node.heard < leg.sent:
-            self.mark(leg.node, 2.0, "silent")
-        elif source is not None and source.heard < leg.sent:
+            self.blame(leg, "silent")
+        elif source is not None and not leg.bag and source.heard < leg.sent:
             self.mark(source, 1.0, "silent")
             source.recent.add(self.now, leg.timeout)
         else:
@@ -281,7 +282,7 @@
         ranked = self.by_hash(self.caches, lookup.key, lookup.part)
         work = self.work(lookup)
         tried = {leg.node.key for leg in lookup.legs if leg.outcome != Outcome.MISS}
-        fit = [member for member in ranked if member.key not in tried and self.usable(member, work)]
+        fit = self.fit([member for member in ranked if member.key not in tried], work)
         if not fit:
             return None
         spread = 1 + int(self.popularity(lookup) / HOT_SHARE)
@@ -329,16 +330,15 @@
                  if leg.source is not None and leg.outcome != Outcome.SATISFIED}
         if cache is not None and self.terms.siblings:
             held = self.beliefs.get((lookup.key, lookup.part), {})
-            since = max(self.now - BELIEF_AGE, self.purge_moment(lookup))
-            if held.get(cache, 0.0) <= since:
+            if not self.holds(cache, lookup):
                 limit = self.delay(cache, average) + NEAR
-                for sibling, at in held.items():
-                    if (at > since and sibling is not cache and sibling.key not in tried
+                for sibling in held:
+                    if (self.holds(sibling, lookup) and sibling.key not in tried
                             and sibling.state == State.READY and self.delay(sibling, average) <= limit
-                            and self.usable(sibling, work)):
+                            and self.fit([sibling], work)):
                         return sibling, True
         ranked = [m for m in self.by_hash(self.parents, lookup.key, lookup.part) if m.key not in tried]
-        fit = [member for member in ranked if self.usable(member, work)]
+        fit = self.fit(ranked, work)
         origin = self.origin
         if origin is None or not fit:
             return (origin or (fit[0] if fit else None)), False
@@ -353,6 +353,11 @@
                 return member, False
         return fit[0], False
 
+    def holds(self, cache: Member, lookup: Lookup) -> bool:
+        """Whether a recent answer makes us believe that the cache holds a copy that will do."""
+        at = self.beliefs.get((lookup.key, lookup.part), {}).get(cache, 0.0)
+        return at > max(self.now - BELIEF_AGE, self.purge_moment(lookup))
+
     def trial(self, members: list[Member]) -> Member | None:
         return next((member for member in members if self.due(member)), None)
 
@@ -376,10 +381,10 @@
 
     # The guards
 
-    def usable(self, member: Member, work: float) -> bool:
-        if member.shunned and not self.due(member):
-            return False
-        return self.has_room(member, work)
+    def fit(self, members: list[Member], work: float) -> list[Member]:
+        """Those that may be sent to: the well ones, one on trial, or all where none is well."""
+        roomy = [member for member in members if self.has_room(member, work)]
+        return [member for member in roomy if not member.shunned or self.due(member)] or roomy
 
     def warmth(self, member: Member) -> float:
         rule = self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
@@ -449,7 +454,7 @@
         if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             self.mark(node, 2.0, outcome.name.lower())
         elif outcome == Outcome.ERROR:
-            self.mark(node, 1.0, "error")
+            self.blame(leg, "error")
         if source is None or source is node or outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if note == Note.SOURCE_LACKS or (outcome == Outcome.MISS and note == Note.NONE):
@@ -458,6 +463,13 @@
             source.recent.add(self.now, leg.timeout)
             self.mark(source, 1.0, note.name.lower())
 
+    def blame(self, leg: Leg, why: str) -> None:
+        """A leg went wrong: its cache alone is to blame where a hit was due, else the source by half."""
+        if leg.bag or leg.source is None or leg.source is leg.node:
+            return self.mark(leg.node, 1.0, why)
+        self.mark(leg.node, 0.5, why)
+        self.mark(leg.source, 0.5, why)
+
     def mark(self, member: Member, bad: float, why: str) -> None:
         """Keeps the share of bad outcomes; a member over the limit is shunned until trials go well."""
         member.health.age(self.now)
