Push back at once what no cache can satisfy in time

Cause: under overload all transfers slowed alike past their latency goals. A cache's crowding is taken as this director's legs out there, times the directors of the location, over its size in transfers; where sending time x crowding passes what is left of the goal, the next cache in hash order is taken, else the lookup is pushed back. Big answers give way first, as they bear least crowding. Could harm where listed sizes are far below what machines carry.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -200,7 +200,7 @@
             source, held_only = self.choose_source(lookup, cache)
             return self.send(lookup, cache, source, held_only)
         source, _ = self.choose_source(lookup, None)
-        if source is None or not self.terms.may_pass_by:
+        if source is None or not self.terms.may_pass_by or self.caches:
             return self.give_up(lookup)
         return self.send(lookup, source, source, False)
 
@@ -286,9 +286,16 @@
         if not fit:
             return None
         spread = 1 + int(self.popularity(lookup) / HOT_SHARE)
-        if spread == 1:
-            return fit[0]
-        return min(fit[:spread], key=lambda member: len(member.out) / max(member.share, 0.1))
+        first = fit[0] if spread == 1 else min(fit[:spread], key=self.crowd)
+        left = lookup.arrived + self.goal(lookup) - self.now
+        if not self.terms.sized or work * self.crowd(first) <= left:
+            return first
+        return next((member for member in fit if work * self.crowd(member) <= left), None)
+
+    def crowd(self, member: Member) -> float:
+        """By how much a transfer is slowed there: those out over those that fit, as far as one can tell."""
+        fits = max(member.share * self.warmth(member), 0.1)
+        return max(1.0, len(member.out) * self.terms.directors_here / fits)
 
     def by_hash(self, members: list[Member], *what: int) -> list[Member]:
         """Rendezvous order, weighted by size and by how warm a member is: a lost one moves only its own."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -132,3 +132,13 @@
         for leg in lookup.legs[1:]:
             fleet.answer(leg, note=Note.FILLED)
     assert sick.shunned and not any(member.shunned for member in getattr(fleet, well))
+
+
+def test_a_lookup_that_no_cache_can_satisfy_in_time_is_pushed_back_at_once():
+    """Without the bound a burst slows every transfer past its latency goal."""
+    fleet = Fleet()
+    lookups = [fleet.look_up(size=4000.0, after=0.0) for _ in range(200)]
+    assert 10 < len([lookup for lookup in lookups if not lookup.ended]) < 100
+    assert lookups[-1].ended and not lookups[-1].legs
+    small = fleet.look_up(size=500.0, after=0.0)
+    assert small.legs
