Start fills only while the location's link can bring them in time

Reports tell its crowding; where they come to probes only, one cache is probed twice a second. Covers any cause of many misses; could harm where reports are wrong.

--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -101,6 +101,7 @@
     notes_all: bool  # notes tell of fills, too
     must_subscribe: bool
     reports: list[str]  # names of a load report's values
+    asks_reports: bool  # they come to probes only
     cold_cache: ColdRule
     cold_parent: ColdRule
     purge_span: float
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -24,6 +24,9 @@
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
 SICK_LEAST, SICK_SHARE = 2.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
 AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
+FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
+REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
+PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
 
@@ -99,6 +102,8 @@
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed = not terms.must_subscribe
         self.again = AGAIN_MOST  # further legs that may go now
+        self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
+        self.probe_due = now
         self.out: Writer
 
     # What comes in
@@ -110,6 +115,9 @@
             out.subscribe()
         for method, arguments in inbox:
             getattr(self, method)(*arguments)
+        if self.terms.asks_reports and self.terms.may_probe and self.caches and now >= self.probe_due:
+            self.probe_due = now + PROBE_EVERY
+            out.probe(self.random.choice(self.caches))
 
     def listed(self, rows: list[tuple[Any, ...]], whole: bool, broken: bool) -> None:
         if broken:
@@ -148,8 +156,7 @@
                  load: dict[str, float] | None) -> None:
         lookup, leg.outcome = leg.lookup, outcome
         leg.node.out.pop(leg, None)
-        if load:
-            leg.node.load = load
+        self.told(leg.node, load)
         self.learn(leg, wait, note, first_byte)
         if closed:
             self.end(lookup)
@@ -173,8 +180,7 @@
             self.check(about)
 
     def probed(self, member: Member, well: bool, wait: float, load: dict[str, float] | None) -> None:
-        if load:
-            member.load = load
+        self.told(member, load)
 
     def purged(self, key: int, group: int, age: float) -> None:
         book, name = (self.purged_keys, key) if key else (self.purged_groups, group)
@@ -198,6 +204,10 @@
         cache = self.choose_cache(lookup)
         if cache is not None:
             source, held_only = self.choose_source(lookup, cache)
+            if not held_only and not self.link_bears(lookup):
+                if any(leg.outcome == Outcome.MISS for leg in lookup.legs):
+                    return self.give_up(lookup)
+                source = cache
             return self.send(lookup, cache, source, held_only)
         source, _ = self.choose_source(lookup, None)
         if source is None or not self.terms.may_pass_by or self.caches:
@@ -412,6 +422,20 @@
         room = COLD_FILL * member.share * warmth * rule.span / sharers
         return sum(spent for _, spent in member.spent) + work <= room
 
+    def told(self, member: Member, load: dict[str, float] | None) -> None:
+        if load and member in self.caches and "crowding" in load:
+            self.link, self.link_told = load["crowding"], self.now
+
+    def link_bears(self, lookup: Lookup) -> bool:
+        """Whether a fill from outside can come in time; else a cache is asked only for what it holds.
+
+        Guards against a link that fills jam for good: they run on when their clients have left. Covers any
+        cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
+        if self.now - self.link_told > REPORT_AGE:
+            return True
+        slowed = max(1.0, self.link / FILL_PACE)
+        return self.work(lookup) * slowed <= lookup.arrived + self.goal(lookup) - self.now
+
     def spend(self, member: Member, work: float) -> None:
         if member.started and self.warmth(member) < 1.0:
             member.spent.append((self.now, work))
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -54,6 +54,7 @@
             joins=domain["collapses"], siblings=domain["peersFill"] != "none",
             notes_all=domain["noteLevel"] == "all", must_subscribe=boot["registryMode"] == "subscribe",
             reports=[REPORT_WORDS.get(word, word) for word in report["columns"]],
+            asks_reports=report["how"] == "probe",
             cold_cache=ColdRule(rules["coldFrom"], rules["cold"], rules["fallMultiple"],
                                 rules["overloadFor"]),
             cold_parent=ColdRule(domain["parentStartsAt"], domain["parentWarmsIn"],
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -47,7 +47,8 @@
             siblings=True,
             notes_all=True,
             must_subscribe=False,
-            reports=[],
+            reports=["crowding"],
+            asks_reports=False,
             cold_cache=ColdRule(0.2, 17000.0, 2.5, 1500.0),
             cold_parent=ColdRule(0.063, 20000.0, 2.0, 1500.0),
             purge_span=6000.0,
@@ -81,7 +82,6 @@
         self.call("looked_up", lookup)
         return lookup
 
-    def answer(self, leg, outcome=Outcome.SATISFIED, note=Note.HIT, wait=100.0, first_byte=0.0, after=0.0):
-        self.call(
-            "answered", leg, outcome, wait, outcome == Outcome.SATISFIED, note, first_byte, None, after=after
-        )
+    def answer(self, leg, outcome=Outcome.SATISFIED, note=Note.HIT, first_byte=0.0, after=0.0, load=None):
+        closed = outcome == Outcome.SATISFIED
+        self.call("answered", leg, outcome, 100.0, closed, note, first_byte, load, after=after)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -61,6 +61,7 @@
     for _ in range(60):
         leg = fleet.look_up().legs[0]
         assert leg.node is fleet.caches[0] and leg.source is not fleet.parents[1]
+        fleet.answer(leg)
 
 
 @pytest.mark.parametrize("caches_cold, hubs_cold", [(True, False), (False, True)])
@@ -142,3 +143,15 @@
     assert lookups[-1].ended and not lookups[-1].legs
     small = fleet.look_up(size=500.0, after=0.0)
     assert small.legs
+
+
+@pytest.mark.parametrize("crowding, age, filled", [(1.0, 0, True), (30.0, 0, False), (30.0, 3000, True)])
+def test_a_jammed_link_brings_in_no_fills_and_a_miss_is_pushed_back_at_once(crowding, age, filled):
+    """Without the bound, fills whose clients left kept a jammed link jammed for the rest of the day."""
+    fleet = Fleet()
+    fleet.answer(fleet.look_up().legs[0], load={"crowding": crowding})
+    lookup = fleet.look_up(after=age)
+    assert (lookup.legs[0].source is not lookup.legs[0].node) is filled
+    if not filled:
+        fleet.answer(lookup.legs[0], Outcome.MISS, Note.NONE)
+        assert lookup.ended and len(lookup.legs) == 1
