Count silence from overdue legs and wipe it by any sign of life

Cause: a fixed cut took crowded members for silent ones (docs/incidents/false-silence.md). Covers hangs, vanished machines and silent sources alike; could harm where all members fall silent at once.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from .interface import PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
+from .interface import EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often: back within seconds, about 1 lookup in 20
@@ -23,6 +23,8 @@
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
 SICK_LEAST, SICK_SHARE = 2.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
+QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
+OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
@@ -68,7 +70,7 @@
     def reset(self) -> None:
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
         self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
-        self.heard = 0.0
+        self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned = False
         self.trial_due = 0.0
         self.out: dict[Leg, None] = {}
@@ -167,7 +169,7 @@
                 self.route(lookup)
 
     def opened(self, leg: Leg, wait: float) -> None:
-        leg.node.heard = self.now
+        self.sign_of_life(leg.node)
 
     def left(self, lookup: Lookup) -> None:
         self.end(lookup)
@@ -246,19 +248,26 @@
             self.out.wake(cut, leg)
 
     def check(self, leg: Leg) -> None:
-        """A leg is out for long: where nothing was heard of its node or source since, it goes elsewhere."""
-        source = leg.source if leg.source is not None and leg.source is not leg.node else None
-        if leg.node.heard < leg.sent:
-            self.blame(leg, "silent")
-        elif source is not None and not leg.bag and source.heard < leg.sent:
-            self.mark(source, 1.0, "silent")
-            source.recent.add(self.now, leg.timeout)
-        else:
+        """A leg is overdue: where nothing was heard of its node or source since, it goes elsewhere."""
+        lookup, source = leg.lookup, leg.source
+        due = self.work(lookup) * self.crowd(leg.node)
+        doubtful = [] if leg.node.heard >= leg.sent else [leg.node]
+        if not leg.bag and source is not None and source is not leg.node:
+            due += self.delay(source, self.average()) + self.work(lookup) * (self.link_slows() - 1.0)
+            doubtful += [] if source.heard >= leg.sent else [source]
+        late = self.now - leg.sent
+        self.out.wake(0.5 * late, leg)
+        sign = min(1.0, 0.5 * (late / due - 1.0))
+        if sign <= 0.0 or not doubtful:
+            return
+        for member in doubtful:
+            member.quiet += sign / len(doubtful)
+            self.judge(member, "silent")
+        if sign < OVERDUE or leg is not lookup.legs[-1] or lookup.use_case.repeat == EFFECTFUL:
             return
-        lookup = leg.lookup
-        if self.terms.two_legs and lookup.use_case.repeat != "effectful":
+        if self.terms.two_legs:
             self.route(lookup)
-        elif self.terms.may_cancel and lookup.use_case.repeat != "effectful":
+        elif self.terms.may_cancel:
             self.out.abandon(leg)
 
     def give_up(self, lookup: Lookup) -> None:
@@ -431,10 +440,11 @@
 
         Guards against a link that fills jam for good: they run on when their clients have left. Covers any
         cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
-        if self.now - self.link_told > REPORT_AGE:
-            return True
-        slowed = max(1.0, self.link / FILL_PACE)
-        return self.work(lookup) * slowed <= lookup.arrived + self.goal(lookup) - self.now
+        return self.work(lookup) * self.link_slows() <= lookup.arrived + self.goal(lookup) - self.now
+
+    def link_slows(self) -> float:
+        """By how much a fill from outside is slowed, as last told."""
+        return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
 
     def spend(self, member: Member, work: float) -> None:
         if member.started and self.warmth(member) < 1.0:
@@ -469,14 +479,14 @@
         spot = (leg.lookup.key, leg.lookup.part)
         held = self.beliefs.get(spot, {})
         if outcome in (Outcome.SATISFIED, Outcome.MISS, Outcome.TURNED_AWAY, Outcome.ERROR):
-            node.heard = self.now
+            self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
             self.mark(node, 0.0, "")
             if self.rank(leg.lookup) or note == Note.HIT:
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source is not None and source is not node and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
                 delay = first_byte if self.terms.notes_all else max(1.0, wait - self.work(leg.lookup))
-                source.heard = self.now
+                self.sign_of_life(source)
                 source.recent.add(self.now, delay)
                 source.usual.add(self.now, delay)
                 self.mark(source, 0.0, "")
@@ -502,12 +512,23 @@
         self.mark(leg.source, 0.5, why)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
-        """Keeps the share of bad outcomes; a member over the limit is shunned until trials go well."""
         member.health.age(self.now)
         bins = member.health.bins
         bins[1 if bad else 0] += bad or 1.0
-        sick = bins[1] >= SICK_LEAST and bins[1] > SICK_SHARE * (bins[0] + bins[1])
+        self.judge(member, why)
+
+    def sign_of_life(self, member: Member) -> None:
+        member.heard = self.now
+        if member.quiet:
+            member.quiet = 0.0
+            self.judge(member, "")
+
+    def judge(self, member: Member, why: str) -> None:
+        """Shuns a member that fails too often or has been silent too long; trials bring it back."""
+        good, bad = member.health.bins[:2]
+        sick = member.quiet >= QUIET_MOST or (bad >= SICK_LEAST and bad > SICK_SHARE * (good + bad))
         if sick != member.shunned:
             member.shunned, member.trial_due = sick, self.now + TRIAL_EVERY
             word = f"shunned ({why})" if sick else "taken back"
-            self.out.log(f"member {member.key:x} {word}: {bins[1]:.1f} bad, {bins[0]:.1f} good lately")
+            figures = f"{bad:.1f} bad, {good:.1f} good lately, silence {member.quiet:.1f}"
+            self.out.log(f"member {member.key:x} {word}: {figures}")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -155,3 +155,14 @@
     if not filled:
         fleet.answer(lookup.legs[0], Outcome.MISS, Note.NONE)
         assert lookup.ended and len(lookup.legs) == 1
+
+
+def test_a_slow_member_that_answers_in_between_is_not_shunned():
+    """A fixed cut took crowded members for silent ones, and the count outlived the answer that refuted it."""
+    fleet = Fleet()
+    for _ in range(30):
+        leg = fleet.look_up(after=400).legs[0]
+        fleet.call("woken", leg, after=900)
+        fleet.answer(leg, after=10)
+        assert not leg.node.shunned or leg.node.quiet >= 2.0
+    assert not any(member.shunned for member in fleet.caches)
