--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -29,6 +29,7 @@
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
+ADMIT = 0.7  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
 
@@ -306,7 +307,7 @@
             return None
         spread = 1 + int(self.popularity(lookup) / HOT_SHARE)
         first = fit[0] if spread == 1 else min(fit[:spread], key=self.crowd)
-        left = lookup.arrived + self.goal(lookup) - self.now
+        left = self.time_for(lookup)
         if not self.terms.sized or work * self.crowd(first) <= left:
             return first
         return next((member for member in fit if work * self.crowd(member) <= left), None)
@@ -314,7 +315,7 @@
     def crowd(self, member: Member) -> float:
         """By how much a transfer is slowed there: those out over those that fit, as far as one can tell."""
         fits = max(member.share * self.warmth(member), 0.1)
-        return max(1.0, len(member.out) * self.terms.directors_here / fits)
+        return max(1.0, (1 + len(member.out)) * self.terms.directors_here / fits)
 
     def by_hash(self, members: list[Member], *what: int) -> list[Member]:
         """Rendezvous order, weighted by size and by how warm a member is: a lost one moves only its own."""
@@ -440,7 +441,7 @@
 
         Guards against a link that fills jam for good: they run on when their clients have left. Covers any
         cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
-        return self.work(lookup) * self.link_slows() <= lookup.arrived + self.goal(lookup) - self.now
+        return self.work(lookup) * self.link_slows() <= self.time_for(lookup)
 
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told."""
@@ -474,6 +475,10 @@
         case = lookup.use_case
         return min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
 
+    def time_for(self, lookup: Lookup) -> float:
+        """How long an answer may be foretold to take."""
+        return ADMIT * (lookup.arrived + self.goal(lookup) - self.now)
+
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
         spot = (leg.lookup.key, leg.lookup.part)
