--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -106,6 +106,7 @@
         self.subscribed = not terms.must_subscribe
         self.again = AGAIN_MOST  # further legs that may go now
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
+        self.behind = Histogram(HALF_RECENT)  # delay of what came by way of the origin
         self.probe_due = now
         self.out: Writer
 
@@ -207,10 +208,9 @@
         cache = self.choose_cache(lookup)
         if cache is not None:
             source, held_only = self.choose_source(lookup, cache)
-            if not held_only and not self.link_bears(lookup):
-                if any(leg.outcome == Outcome.MISS for leg in lookup.legs):
+            if source not in self.caches or source is cache:  # no sibling: a second miss there tells the same
+                if (held_only or source is cache) and any(self.fell_short(leg) for leg in lookup.legs):
                     return self.give_up(lookup)
-                source = cache
             return self.send(lookup, cache, source, held_only)
         source, _ = self.choose_source(lookup, None)
         if source is None or not self.terms.may_pass_by or self.caches:
@@ -364,21 +364,34 @@
                             and sibling.state == State.READY and self.delay(sibling, average) <= limit
                             and self.fit([sibling], work)):
                         return sibling, True
-        ranked = [m for m in self.by_hash(self.parents, lookup.key, lookup.part) if m.key not in tried]
-        fit = self.fit(ranked, work)
+        if cache is not None and not self.link_bears(lookup):
+            return cache, False
+        if self.origin is not None and self.now >= self.origin.trial_due:
+            self.origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
+            return self.origin, False
+        fit = self.fit([m for m in self.by_hash(self.parents, lookup.key, lookup.part) if m.key not in tried],
+                       work)
+        source = self.choose_outside(fit, average)
+        if cache is None or self.origin_bears(lookup):
+            return source, False
+        return (cache, False) if source is self.origin or source is None else (source, True)
+
+    def choose_outside(self, fit: list[Member], average: float) -> Member | None:
+        """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
         origin = self.origin
         if origin is None or not fit:
-            return (origin or (fit[0] if fit else None)), False
-        if self.now >= origin.trial_due:
-            origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
-            return origin, False
+            return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
         if measured is not None and all(self.delay(m, average) > measured + NEAR for m in self.parents):
-            return self.trial(fit) or origin, False
+            return self.trial(fit) or origin
         for member in fit:
             if self.delay(member, average) <= self.usual(member, average) + NEAR or self.due(member):
-                return member, False
-        return fit[0], False
+                return member
+        return fit[0]
+
+    def fell_short(self, leg: Leg) -> bool:
+        """Whether the leg showed that neither the cache nor what it was to ask outside holds the object."""
+        return leg.outcome == Outcome.MISS and (leg.source is leg.node or leg.source not in self.caches)
 
     def holds(self, cache: Member, lookup: Lookup) -> bool:
         """Whether a recent answer makes us believe that the cache holds a copy that will do."""
@@ -443,6 +456,14 @@
         cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
         return self.work(lookup) * self.link_slows() <= self.time_for(lookup)
 
+    def origin_bears(self, lookup: Lookup) -> bool:
+        """Whether the origin can answer in time; else parents are asked only for what they hold.
+
+        Guards against a crowded origin that more fills would hold crowded. Covers a slow or stopped origin,
+        cold parents and flushes; could harm where the origin alone is far and goals are short."""
+        delay = self.behind.mean(self.now)
+        return delay is None or delay + self.work(lookup) <= self.time_for(lookup)
+
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told."""
         return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
@@ -494,6 +515,8 @@
                 self.sign_of_life(source)
                 source.recent.add(self.now, delay)
                 source.usual.add(self.now, delay)
+                if note == Note.FILLED_BY_ORIGIN or source is self.origin:
+                    self.behind.add(self.now, delay)
                 self.mark(source, 0.0, "")
             return
         held.pop(node, None)
@@ -507,6 +530,8 @@
             held.pop(source, None)
         elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.ORIGIN_BROKE):
             source.recent.add(self.now, leg.timeout)
+            if note == Note.ORIGIN_BROKE or source is self.origin:
+                self.behind.add(self.now, leg.timeout)
             self.mark(source, 1.0, note.name.lower())
 
     def blame(self, leg: Leg, why: str) -> None:
