--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -61,6 +61,19 @@
         return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)) / weight
 
 
+    def middle(self, now: float) -> float:
+        """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
+        self.age(now)
+        half = sum(self.bins) / 2.0
+        if half < 1.0:
+            return 0.0
+        place = 0
+        while half >= self.bins[place]:
+            half -= self.bins[place]
+            place += 1
+        return 4.0 * 2.0 ** place * (1.0 + half / self.bins[place])
+
+
 class Member(Node):
     """A cache, parent or the origin with what this director has seen of it."""
 
@@ -461,8 +474,7 @@
 
         Guards against a crowded origin that more fills would hold crowded. Covers a slow or stopped origin,
         cold parents and flushes; could harm where the origin alone is far and goals are short."""
-        delay = self.behind.mean(self.now)
-        return delay is None or delay + self.work(lookup) <= self.time_for(lookup)
+        return self.behind.middle(self.now) + self.work(lookup) <= self.time_for(lookup) / ADMIT
 
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -166,3 +166,17 @@
         fleet.answer(leg, after=10)
         assert not leg.node.shunned or leg.node.quiet >= 2.0
     assert not any(member.shunned for member in fleet.caches)
+
+
+@pytest.mark.parametrize("first_byte, held_only", [(100.0, False), (3000.0, True)])
+def test_a_crowded_origin_gets_no_more_fills_and_parents_give_what_they_hold(first_byte, held_only):
+    """Without the bound a crowded origin was held crowded by fills that came too late for anyone."""
+    fleet = Fleet()
+    for _ in range(8):
+        fleet.answer(fleet.look_up().legs[0], note=Note.FILLED_BY_ORIGIN, first_byte=first_byte)
+    fleet.out.take("send")
+    lookup = fleet.look_up()
+    assert fleet.out.take("send")[0][4] is held_only and lookup.legs[0].source in fleet.parents
+    if held_only:
+        fleet.answer(lookup.legs[0], Outcome.MISS, Note.SOURCE_LACKS)
+        assert lookup.ended and len(lookup.legs) == 1
