Doubt a source only where its leg may have gone wrong by it; tell the module shorter

A cache that could not be reached took its leg's parent with it, so the next leg went to another parent or the origin.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -11,7 +11,8 @@
 from random import Random
 from typing import Any
 
-from .interface import EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
+from .interface import EFFECTFUL, PURE, RECEIPTED, ColdRule, Leg, Lookup, Node, Note, Outcome, State, Terms
+from .interface import Writer
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often: back within seconds, about 1 lookup in 20
@@ -30,6 +31,8 @@
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
 ADMIT = 0.7  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
+CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
+COME_BACK = 300.0  # advice to what is pushed back: by then a short jam has passed
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
 
@@ -60,7 +63,6 @@
             return None
         return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)) / weight
 
-
     def middle(self, now: float) -> float:
         """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
         self.age(now)
@@ -85,11 +87,9 @@
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
         self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
-        self.shunned = False
-        self.trial_due = 0.0
+        self.shunned, self.trial_due = False, 0.0
         self.out: dict[Leg, None] = {}
         self.spent: deque[tuple[float, float]] = deque()  # what this director sent it while cold
-        self.load: dict[str, float] = {}
 
 
 def mix(*parts: int) -> int:
@@ -102,11 +102,17 @@
     return state
 
 
+def may_have_run(lookup: Lookup) -> list[Leg]:
+    return [leg for leg in lookup.legs if leg.outcome is None or not leg.outcome.never_ran]
+
+
 class Director:
+    """Decides for one location, by what its own lookups have shown."""
+
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
-        self.members: dict[Member, None] = {}
-        self.caches: list[Member] = []
+        self.members: dict[Member, None] = {}  # all that were ever listed
+        self.caches: list[Member] = []  # the ready ones of this location
         self.parents: list[Member] = []
         self.origin: Member | None = None
         self.counts: dict[tuple[int, int], int] = {}
@@ -203,9 +209,6 @@
         book, name = (self.purged_keys, key) if key else (self.purged_groups, group)
         book[name] = max(book.get(name, 0.0), self.now - age)
 
-    def heard(self, rank: int, body: bytes) -> None:
-        pass
-
     # The way of a lookup
 
     def route(self, lookup: Lookup) -> None:
@@ -216,29 +219,18 @@
             if self.again < 1.0:
                 return self.give_up(lookup)
             self.again -= 1.0
-        if lookup.use_case.never_kept:
-            return self.route_write(lookup)
-        cache = self.choose_cache(lookup)
-        if cache is not None:
-            source, held_only = self.choose_source(lookup, cache)
-            if source not in self.caches or source is cache:  # no sibling: a second miss there tells the same
-                if (held_only or source is cache) and any(self.fell_short(leg) for leg in lookup.legs):
-                    return self.give_up(lookup)
-            return self.send(lookup, cache, source, held_only)
-        source, _ = self.choose_source(lookup, None)
-        if source is None or not self.terms.may_pass_by or self.caches:
-            return self.give_up(lookup)
-        return self.send(lookup, source, source, False)
-
-    def route_write(self, lookup: Lookup) -> None:
-        if self.origin is None:
-            return self.give_up(lookup)
-        if self.terms.may_pass_by:
-            return self.send(lookup, self.origin, self.origin, False)
-        cache = self.choose_cache(lookup)
+        write, pass_by = lookup.use_case.never_kept, self.terms.may_pass_by
+        cache = None if write and pass_by else self.choose_cache(lookup)
         if cache is None:
-            return self.give_up(lookup)
-        return self.send(lookup, cache, self.origin, False)
+            source = self.origin if write else self.choose_source(lookup, None)[0]
+            if source is None or not pass_by or (self.caches and not write):
+                return self.give_up(lookup)
+            return self.send(lookup, source, source, False)
+        source, held_only = (self.origin, False) if write else self.choose_source(lookup, cache)
+        if held_only or source is cache:  # where that fell short before, no sibling asked, it would again
+            if (source is cache or source not in self.caches) and any(map(self.fell_short, lookup.legs)):
+                return self.give_up(lookup)
+        return self.send(lookup, cache, source, held_only)
 
     def send(self, lookup: Lookup, node: Member, source: Member | None, held_only: bool) -> None:
         leg = Leg(lookup, len(lookup.legs), node, source, self.now, lookup.until - self.now)
@@ -246,20 +238,14 @@
         lookup.legs.append(leg)
         node.out[leg] = None
         work = self.work(lookup)
-        self.spend(node, work)
-        if source is not None and source is not node:
-            self.spend(source, work)
-        if node.zone == self.terms.zone:
-            keep = self.rank(lookup)
-        else:
-            keep = 0
+        for member in {node: None, source: None}:
+            if member is not None and self.warmth(member) < 1.0:
+                member.spent.append((self.now, work))
+        keep = self.rank(lookup) if node in self.caches else 0
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
         renew = lookup.use_case.fresh_for > 0
         self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
-        goal_left = lookup.arrived + self.goal(lookup) - self.now
-        cut = max(goal_left - 1.2 * work - 50.0, 150.0)
-        if cut < leg.timeout:
-            self.out.wake(cut, leg)
+        self.out.wake(max(self.goal_left(lookup) - 1.2 * work - 50.0, CHECK_LEAST), leg)
 
     def check(self, leg: Leg) -> None:
         """A leg is overdue: where nothing was heard of its node or source since, it goes elsewhere."""
@@ -267,7 +253,7 @@
         due = self.work(lookup) * self.crowd(leg.node)
         doubtful = [] if leg.node.heard >= leg.sent else [leg.node]
         if not leg.bag and source is not None and source is not leg.node:
-            due += self.delay(source, self.average()) + self.work(lookup) * (self.link_slows() - 1.0)
+            due += self.delay(source) + self.work(lookup) * (self.link_slows() - 1.0)
             doubtful += [] if source.heard >= leg.sent else [source]
         late = self.now - leg.sent
         self.out.wake(0.5 * late, leg)
@@ -285,11 +271,11 @@
             self.out.abandon(leg)
 
     def give_up(self, lookup: Lookup) -> None:
-        case = lookup.use_case
-        harmless = case.repeat == PURE or all(
-            leg.outcome is not None and leg.outcome.never_ran for leg in lookup.legs)
-        if harmless or (case.repeat == RECEIPTED and case.group == "all"):
-            self.out.push_back(lookup, min(300.0, self.terms.advice_most) if self.terms.may_advise else 0.0)
+        """The final answer, at once; a pushback tells the client when to come back."""
+        case, terms = lookup.use_case, self.terms
+        known = case.repeat == RECEIPTED and case.group == "all"
+        if case.repeat == PURE or known or not may_have_run(lookup):
+            self.out.push_back(lookup, min(COME_BACK, terms.advice_most) if terms.may_advise else 0.0)
         else:
             self.out.break_off(lookup)
         self.end(lookup)
@@ -302,8 +288,7 @@
 
     def may_send(self, lookup: Lookup) -> bool:
         """Whether another leg can do no harm."""
-        doubtful = [leg for leg in lookup.legs if leg.outcome is None or not leg.outcome.never_ran]
-        case = lookup.use_case
+        case, doubtful = lookup.use_case, may_have_run(lookup)
         if not doubtful or case.repeat == PURE:
             return True
         in_span = self.now < doubtful[0].sent + case.memory_span - GUARD
@@ -364,44 +349,47 @@
     # Which source
 
     def choose_source(self, lookup: Lookup, cache: Member | None) -> tuple[Member | None, bool]:
+        """Where a miss is filled from, and whether that is asked only for what it holds."""
         work = self.work(lookup)
-        average = self.average()
-        tried = {leg.source.key for leg in lookup.legs
-                 if leg.source is not None and leg.outcome != Outcome.SATISFIED}
-        if cache is not None and self.terms.siblings:
-            held = self.beliefs.get((lookup.key, lookup.part), {})
-            if not self.holds(cache, lookup):
-                limit = self.delay(cache, average) + NEAR
-                for sibling in held:
-                    if (self.holds(sibling, lookup) and sibling.key not in tried
-                            and sibling.state == State.READY and self.delay(sibling, average) <= limit
+        tried = {leg.source for leg in lookup.legs if self.doubts_source(leg)}
+        if cache is not None:
+            if self.terms.siblings and not self.holds(cache, lookup):
+                limit = self.delay(cache) + NEAR
+                for sibling in self.caches:
+                    if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
                             and self.fit([sibling], work)):
                         return sibling, True
-        if cache is not None and not self.link_bears(lookup):
-            return cache, False
+            if work * self.link_slows() > self.time_for(lookup):
+                return cache, False
         if self.origin is not None and self.now >= self.origin.trial_due:
             self.origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
             return self.origin, False
-        fit = self.fit([m for m in self.by_hash(self.parents, lookup.key, lookup.part) if m.key not in tried],
-                       work)
-        source = self.choose_outside(fit, average)
+        ranked = self.by_hash(self.parents, lookup.key, lookup.part)
+        source = self.choose_outside(self.fit([parent for parent in ranked if parent not in tried], work))
         if cache is None or self.origin_bears(lookup):
             return source, False
         return (cache, False) if source is self.origin or source is None else (source, True)
 
-    def choose_outside(self, fit: list[Member], average: float) -> Member | None:
+    def choose_outside(self, fit: list[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
         origin = self.origin
         if origin is None or not fit:
             return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
-        if measured is not None and all(self.delay(m, average) > measured + NEAR for m in self.parents):
-            return self.trial(fit) or origin
-        for member in fit:
-            if self.delay(member, average) <= self.usual(member, average) + NEAR or self.due(member):
-                return member
+        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
+            return next((parent for parent in fit if self.trial(parent)), origin)
+        for parent in fit:
+            usual = parent.usual.mean(self.now)
+            if usual is None or self.delay(parent) <= usual + NEAR or self.trial(parent):
+                return parent
         return fit[0]
 
+    def doubts_source(self, leg: Leg) -> bool:
+        """Whether a leg that went wrong may have done so by its source, which is then not named again."""
+        if leg.outcome in (None, Outcome.CANCELLED, Outcome.TIMEOUT):
+            return leg.source is not None and leg.source.heard < leg.sent
+        return leg.outcome in (Outcome.ERROR, Outcome.TURNED_AWAY, Outcome.MISS)
+
     def fell_short(self, leg: Leg) -> bool:
         """Whether the leg showed that neither the cache nor what it was to ask outside holds the object."""
         return leg.outcome == Outcome.MISS and (leg.source is leg.node or leg.source not in self.caches)
@@ -411,50 +399,46 @@
         at = self.beliefs.get((lookup.key, lookup.part), {}).get(cache, 0.0)
         return at > max(self.now - BELIEF_AGE, self.purge_moment(lookup))
 
-    def trial(self, members: list[Member]) -> Member | None:
-        return next((member for member in members if self.due(member)), None)
-
-    def due(self, member: Member) -> bool:
+    def trial(self, member: Member) -> bool:
+        """Whether a passed-over member is due for a trial; it is then taken as given."""
         if self.now < member.trial_due:
             return False
         member.trial_due = self.now + TRIAL_EVERY
         return True
 
-    def delay(self, member: Member, average: float) -> float:
+    def delay(self, member: Member) -> float:
+        """The smoothed delay; an unmeasured member gets the average of the measured."""
         mean = member.recent.mean(self.now)
-        return average if mean is None else mean
-
-    def usual(self, member: Member, average: float) -> float:
-        mean = member.usual.mean(self.now)
-        return average if mean is None else mean
-
-    def average(self) -> float:
-        means = [mean for m in self.members if (mean := m.recent.mean(self.now)) is not None]
-        return sum(means) / len(means) if means else 0.0
+        if mean is None:
+            means = [mean for other in self.members if (mean := other.recent.mean(self.now)) is not None]
+            return sum(means) / len(means) if means else 0.0
+        return mean
 
     # The guards
 
     def fit(self, members: list[Member], work: float) -> list[Member]:
         """Those that may be sent to: the well ones, one on trial, or all where none is well."""
         roomy = [member for member in members if self.has_room(member, work)]
-        return [member for member in roomy if not member.shunned or self.due(member)] or roomy
+        return [member for member in roomy if not member.shunned or self.trial(member)] or roomy
+
+    def cold_rule(self, member: Member) -> ColdRule:
+        return self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
 
     def warmth(self, member: Member) -> float:
-        rule = self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
+        """The share of its capacity that a member has at the least."""
         if not member.started or member.kind == self.terms.origin_kind:
             return 1.0
+        rule = self.cold_rule(member)
         return min(1.0, rule.starts_at + (1.0 - rule.starts_at) * (self.now - member.started) / rule.warm_in)
 
     def has_room(self, member: Member, work: float) -> bool:
         """A cold member gets this director's part of what it can do now, over any span of the rule."""
-        warmth = self.warmth(member)
+        warmth, rule = self.warmth(member), self.cold_rule(member)
         if warmth >= 1.0:
             return True
-        parent = member.kind == self.terms.parent_kind
-        rule = self.terms.cold_parent if parent else self.terms.cold_cache
         while member.spent and member.spent[0][0] < self.now - rule.span:
             member.spent.popleft()
-        sharers = self.terms.directors if parent else self.terms.directors_here
+        sharers = self.terms.directors if member in self.parents else self.terms.directors_here
         room = COLD_FILL * member.share * warmth * rule.span / sharers
         return sum(spent for _, spent in member.spent) + work <= room
 
@@ -462,27 +446,19 @@
         if load and member in self.caches and "crowding" in load:
             self.link, self.link_told = load["crowding"], self.now
 
-    def link_bears(self, lookup: Lookup) -> bool:
-        """Whether a fill from outside can come in time; else a cache is asked only for what it holds.
-
-        Guards against a link that fills jam for good: they run on when their clients have left. Covers any
-        cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
-        return self.work(lookup) * self.link_slows() <= self.time_for(lookup)
-
     def origin_bears(self, lookup: Lookup) -> bool:
         """Whether the origin can answer in time; else parents are asked only for what they hold.
 
         Guards against a crowded origin that more fills would hold crowded. Covers a slow or stopped origin,
         cold parents and flushes; could harm where the origin alone is far and goals are short."""
-        return self.behind.middle(self.now) + self.work(lookup) <= self.time_for(lookup) / ADMIT
+        return self.behind.middle(self.now) + self.work(lookup) <= self.goal_left(lookup)
 
     def link_slows(self) -> float:
-        """By how much a fill from outside is slowed, as last told."""
-        return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
+        """By how much a fill from outside is slowed, as last told; one that would be late is not begun.
 
-    def spend(self, member: Member, work: float) -> None:
-        if member.started and self.warmth(member) < 1.0:
-            member.spent.append((self.now, work))
+        Guards against a link that fills jam for good: they run on when their clients have left. Covers any
+        cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
+        return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
 
     def purge_moment(self, lookup: Lookup) -> float:
         return max(self.purged_keys.get(lookup.key, 0.0), self.purged_groups.get(lookup.group, 0.0))
@@ -504,13 +480,14 @@
         total, number = self.sending[lookup.use_case]
         return total / number if number else lookup.use_case.latency_goal / 4
 
-    def goal(self, lookup: Lookup) -> float:
+    def goal_left(self, lookup: Lookup) -> float:
         case = lookup.use_case
-        return min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
+        goal = min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
+        return lookup.arrived + goal - self.now
 
     def time_for(self, lookup: Lookup) -> float:
         """How long an answer may be foretold to take."""
-        return ADMIT * (lookup.arrived + self.goal(lookup) - self.now)
+        return ADMIT * self.goal_left(lookup)
 
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
@@ -520,7 +497,7 @@
             self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
             self.mark(node, 0.0, "")
-            if self.rank(leg.lookup) or note == Note.HIT:
+            if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source is not None and source is not node and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
                 delay = first_byte if self.terms.notes_all else max(1.0, wait - self.work(leg.lookup))
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -30,7 +30,6 @@
 FAILED_LIST, DELTA = 3, 2
 REPORT_WORDS = {"busy_reqs": "held", "cpu_share": "busy", "x1": "crowding"}
 JOIN, HELD_ONLY, PARENT_DROPS, RENEW = 1, 2, 4, 8
-EVERY = 0xFFFFFFFF
 
 
 def read_terms(text: bytes) -> Terms:
@@ -129,8 +128,6 @@
             call(("probed", (self.node(address), status == 0, wait, self.load(count, tuple(values)))))
         elif code == wire.STRUCK_OUT:
             call(("purged", (fields[0], fields[1], fields[2])))
-        elif code == wire.PEER_DATA:
-            call(("heard", (fields[0], fields[1])))
         elif code == wire.OPENED:
             call(("opened", (self.lookups[fields[0]].legs[fields[2]], fields[3])))
 
@@ -173,9 +170,6 @@
     def probe(self, node: Node) -> None:
         self.reply.add(wire.ASK_LOAD, node.key.to_bytes(6, "big"))
 
-    def tell(self, rank: int | None, body: bytes) -> None:
-        self.reply.add_bytes(wire.POST, body, EVERY if rank is None else rank)
-
     def subscribe(self) -> None:
         self.reply.add(wire.KEEP_INFORMED, 1)
 
