--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -376,7 +376,7 @@
         if origin is None or not fit:
             return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
-        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
+        if all(self.delay(parent) > (measured or self.delay(origin)) + NEAR for parent in fit):
             return next((parent for parent in fit if self.trial(parent)), origin)
         for parent in fit:
             usual = parent.usual.mean(self.now)
@@ -407,7 +407,9 @@
         return True
 
     def delay(self, member: Member) -> float:
-        """The smoothed delay; an unmeasured member gets the average of the measured."""
+        """The smoothed delay; an unmeasured member gets the average of the measured, a shunned one no end."""
+        if member.shunned:
+            return math.inf
         mean = member.recent.mean(self.now)
         if mean is None:
             means = [mean for other in self.members if (mean := other.recent.mean(self.now)) is not None]
