--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -376,7 +376,7 @@
         if origin is None or not fit:
             return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
-        if all(self.delay(parent) > (measured or self.delay(origin)) + NEAR for parent in fit):
+        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), origin)
         for parent in fit:
             usual = parent.usual.mean(self.now)
@@ -407,9 +407,7 @@
         return True
 
     def delay(self, member: Member) -> float:
-        """The smoothed delay; an unmeasured member gets the average of the measured, a shunned one no end."""
-        if member.shunned:
-            return math.inf
+        """The smoothed delay; an unmeasured member gets the average of the measured."""
         mean = member.recent.mean(self.now)
         if mean is None:
             means = [mean for other in self.members if (mean := other.recent.mean(self.now)) is not None]
@@ -523,7 +521,8 @@
             source.recent.add(self.now, leg.timeout)
             if note == Note.ORIGIN_BROKE or source is self.origin:
                 self.behind.add(self.now, leg.timeout)
-            self.mark(source, 1.0, note.name.lower())
+            if note != Note.ORIGIN_BROKE:  # that is no fault of the parent's
+                self.mark(source, 1.0, note.name.lower())
 
     def blame(self, leg: Leg, why: str) -> None:
         """A leg went wrong: its cache alone is to blame where a hit was due, else the source by half."""
