--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -28,7 +28,7 @@
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
-REPORT_AGE = 1500.0  # an older report is not used
+REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
 ADMIT = 0.7  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
@@ -88,7 +88,6 @@
         self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned, self.trial_due = False, 0.0
-        self.held, self.told = 0.0, -REPORT_AGE  # lookups it last reported to hold, and when
         self.out: dict[Leg, None] = {}
         self.spent: deque[tuple[float, float]] = deque()  # what this director sent it while cold
 
@@ -312,14 +311,9 @@
         return next((member for member in fit if work * self.crowd(member) <= left), None)
 
     def crowd(self, member: Member) -> float:
-        """By how much a transfer is slowed there: those out, with this one, over those that fit.
-
-        Others' legs are told late by reports, and at once by likeness to this one's: the mean of both."""
+        """By how much a transfer is slowed there: those out over those that fit, as far as one can tell."""
         fits = max(member.share * self.warmth(member), 0.1)
-        there = len(member.out) * self.terms.directors_here
-        if self.now - member.told < REPORT_AGE:
-            there = 0.5 * (there + max(member.held, len(member.out)))
-        return max(1.0, (1 + there) / fits)
+        return max(1.0, (1 + len(member.out) * self.terms.directors_here) / fits)
 
     def by_hash(self, members: list[Member], *what: int) -> list[Member]:
         """Rendezvous order, weighted by size and by how warm a member is: a lost one moves only its own."""
@@ -449,8 +443,6 @@
         return sum(spent for _, spent in member.spent) + work <= room
 
     def told(self, member: Member, load: dict[str, float] | None) -> None:
-        if load and "held" in load:
-            member.held, member.told = load["held"], self.now
         if load and member in self.caches and "crowding" in load:
             self.link, self.link_told = load["crowding"], self.now
 
