--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -376,7 +376,7 @@
         if origin is None or not fit:
             return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
-        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
+        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in fit):
             return next((parent for parent in fit if self.trial(parent)), origin)
         for parent in fit:
             usual = parent.usual.mean(self.now)
