Begin no fill from a source whose middle delay passes the goal; take crowding out of delays

Where notes are sparse the wait held the cache's crowding too, so the delay is now the wait less the sending time slowed by it. Covers slow or cold parents of any cause.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -366,9 +366,13 @@
             return self.origin, False
         ranked = self.by_hash(self.parents, lookup.key, lookup.part)
         source = self.choose_outside(self.fit([parent for parent in ranked if parent not in tried], work))
-        if cache is None or self.origin_bears(lookup):
+        if cache is None or source is None:
+            return source or cache, False
+        if self.too_late(source.recent, lookup) and not self.trial(source):
+            return cache, False
+        if not self.too_late(self.behind, lookup):
             return source, False
-        return (cache, False) if source is self.origin or source is None else (source, True)
+        return (cache, False) if source is self.origin else (source, True)
 
     def choose_outside(self, fit: list[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
@@ -376,7 +380,7 @@
         if origin is None or not fit:
             return origin or (fit[0] if fit else None)
         measured = origin.recent.mean(self.now)
-        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in fit):
+        if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), origin)
         for parent in fit:
             usual = parent.usual.mean(self.now)
@@ -446,12 +450,12 @@
         if load and member in self.caches and "crowding" in load:
             self.link, self.link_told = load["crowding"], self.now
 
-    def origin_bears(self, lookup: Lookup) -> bool:
-        """Whether the origin can answer in time; else parents are asked only for what they hold.
+    def too_late(self, delays: Histogram, lookup: Lookup) -> bool:
+        """Whether a fill would miss the goal by its source's delay or the origin's; what is held must do.
 
-        Guards against a crowded origin that more fills would hold crowded. Covers a slow or stopped origin,
-        cold parents and flushes; could harm where the origin alone is far and goals are short."""
-        return self.behind.middle(self.now) + self.work(lookup) <= self.goal_left(lookup)
+        Guards against a crowded source that more fills would hold crowded. Covers a slow or stopped origin,
+        slow or cold parents and flushes; could harm where a source is far and goals are short."""
+        return delays.middle(self.now) + self.work(lookup) > self.goal_left(lookup)
 
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told; one that would be late is not begun.
@@ -500,7 +504,8 @@
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source is not None and source is not node and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
-                delay = first_byte if self.terms.notes_all else max(1.0, wait - self.work(leg.lookup))
+                sending = self.work(leg.lookup) * self.crowd(node)
+                delay = first_byte if self.terms.notes_all else max(1.0, wait - sending)
                 self.sign_of_life(source)
                 source.recent.add(self.now, delay)
                 source.usual.add(self.now, delay)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 from helpers import CACHE, PARENT, Fleet
 
@@ -172,11 +174,27 @@
 def test_a_crowded_origin_gets_no_more_fills_and_parents_give_what_they_hold(first_byte, held_only):
     """Without the bound a crowded origin was held crowded by fills that came too late for anyone."""
     fleet = Fleet()
-    for _ in range(8):
-        fleet.answer(fleet.look_up().legs[0], note=Note.FILLED_BY_ORIGIN, first_byte=first_byte)
+    for place in range(30):
+        by_origin = place % 3 == 0
+        note, delay = (Note.FILLED_BY_ORIGIN, first_byte) if by_origin else (Note.FILLED, 12.0)
+        fleet.answer(fleet.look_up().legs[0], note=note, first_byte=delay)
     fleet.out.take("send")
     lookup = fleet.look_up()
     assert fleet.out.take("send")[0][4] is held_only and lookup.legs[0].source in fleet.parents
     if held_only:
         fleet.answer(lookup.legs[0], Outcome.MISS, Note.SOURCE_LACKS)
         assert lookup.ended and len(lookup.legs) == 1
+
+
+def test_a_slow_parent_gets_no_more_fills_but_trials():
+    """Without the bound, fills waited at slow parents and held the places of hits at the caches."""
+    fleet = Fleet()
+    fleet.origin.trial_due = math.inf
+    for _ in range(20):
+        fleet.answer(fleet.look_up().legs[0], note=Note.FILLED, first_byte=3000.0)
+    filled = 0
+    for _ in range(50):
+        leg = fleet.look_up(after=20).legs[0]
+        filled += leg.source in fleet.parents
+        fleet.answer(leg)
+    assert 0 < filled <= 6
