--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections import deque
 from random import Random
 from typing import Any
 
@@ -20,6 +19,7 @@
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
+HOT_LEAST = 4.0  # fewer sightings make nothing hot
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together aim at
@@ -33,23 +33,22 @@
 ADMIT = 0.7  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 300.0  # advice to what is pushed back: by then a short jam has passed
+PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
+PURGE_KEPT = 1.5  # a purge binds for this multiple of the time in which all caches have dropped older copies
 
 
 class Histogram:
     """Weights in bins that double in width, halved from time to time."""
 
-    __slots__ = ("bins", "halving", "due")
-
     def __init__(self, halving: float) -> None:
         self.bins, self.halving, self.due = [0.0] * 11, halving, 0.0
 
     def age(self, now: float) -> None:
         if now >= self.due:
-            times = 1 + int((now - self.due) / self.halving) if self.due else 0
-            if times:
-                self.bins = [weight * 0.5 ** min(times, 30) for weight in self.bins]
+            times = min(30, 1 + int((now - self.due) / self.halving))
+            self.bins = [weight * 0.5 ** times for weight in self.bins]
             self.due = now + self.halving
 
     def add(self, now: float, value: float) -> None:
@@ -89,7 +88,7 @@
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned, self.trial_due = False, 0.0
         self.out: dict[Leg, None] = {}
-        self.spent: deque[tuple[float, float]] = deque()  # what this director sent it while cold
+        self.spent: list[tuple[float, float]] = []  # what this director sent it while cold
 
 
 def mix(*parts: int) -> int:
@@ -119,17 +118,17 @@
         self.older: dict[tuple[int, int], int] = {}
         self.total, self.older_total, self.span_ends = 0, 0, now + POPULAR_SPAN
         self.beliefs: dict[tuple[int, int], dict[Member, float]] = {}
-        self.purged_keys: dict[int, float] = {}
-        self.purged_groups: dict[int, float] = {}
+        self.purges: dict[tuple[str, int], float] = {}  # moment of the last purge of an object or a group
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed = not terms.must_subscribe
         self.again = AGAIN_MOST  # further legs that may go now
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
         self.behind = Histogram(HALF_RECENT)  # delay of what came by way of the origin
+        self.taken, self.pushing = Histogram(HALF_RECENT), False  # bin 0: lookups, bin 1: pushbacks
         self.probe_due = now
         self.out: Writer
 
-    # What comes in
+    # What comes in; `end` (the client left) and `sign_of_life` are called from outside, too
 
     def round(self, now: float, inbox: list[tuple[str, tuple[Any, ...]]], out: Writer) -> None:
         self.now, self.out = now, out
@@ -168,6 +167,7 @@
         self.counts[spot] = self.counts.get(spot, 0) + 1
         self.total += 1
         self.again = min(AGAIN_MOST, self.again + AGAIN_EARNED)
+        self.weigh_pushbacks()
         if lookup.size and self.terms.flow:
             known = self.sending[lookup.use_case]
             known[0] += lookup.size / self.terms.flow
@@ -189,12 +189,6 @@
             else:
                 self.route(lookup)
 
-    def opened(self, leg: Leg, wait: float) -> None:
-        self.sign_of_life(leg.node)
-
-    def left(self, lookup: Lookup) -> None:
-        self.end(lookup)
-
     def woken(self, about: Lookup | Leg) -> None:
         if isinstance(about, Lookup):
             if not about.ended:
@@ -202,12 +196,13 @@
         elif about.outcome is None and not about.lookup.ended:
             self.check(about)
 
-    def probed(self, member: Member, well: bool, wait: float, load: dict[str, float] | None) -> None:
-        self.told(member, load)
+    def told(self, member: Member, load: dict[str, float] | None) -> None:
+        if load and member in self.caches and "crowding" in load:
+            self.link, self.link_told = load["crowding"], self.now
 
     def purged(self, key: int, group: int, age: float) -> None:
-        book, name = (self.purged_keys, key) if key else (self.purged_groups, group)
-        book[name] = max(book.get(name, 0.0), self.now - age)
+        what = ("object", key) if key else ("group", group)
+        self.purges[what] = max(self.purges.get(what, 0.0), self.now - age)
 
     # The way of a lookup
 
@@ -275,11 +270,22 @@
         case, terms = lookup.use_case, self.terms
         known = case.repeat == RECEIPTED and case.group == "all"
         if case.repeat == PURE or known or not may_have_run(lookup):
+            self.taken.bins[1] += 1.0
             self.out.push_back(lookup, min(COME_BACK, terms.advice_most) if terms.may_advise else 0.0)
         else:
             self.out.break_off(lookup)
         self.end(lookup)
 
+    def weigh_pushbacks(self) -> None:
+        self.taken.age(self.now)
+        self.taken.bins[0] += 1.0
+        taken, pushed = self.taken.bins[:2]
+        if self.pushing != (pushed > (PUSHED_SHARE / 2 if self.pushing else PUSHED_SHARE) * taken):
+            self.pushing = not self.pushing
+            word = "pushing back" if self.pushing else "taking all again"
+            causes = f"link {self.link:.1f} crowded, origin {self.behind.middle(self.now):.0f} ms"
+            self.out.log(f"{word}: {pushed:.0f} of {taken:.0f} lookups, {causes}")
+
     def end(self, lookup: Lookup) -> None:
         lookup.ended = True
         for leg in lookup.legs:
@@ -297,15 +303,14 @@
     # Which cache
 
     def choose_cache(self, lookup: Lookup) -> Member | None:
-        ranked = self.by_hash(self.caches, lookup.key, lookup.part)
-        work = self.work(lookup)
-        tried = {leg.node.key for leg in lookup.legs if leg.outcome != Outcome.MISS}
-        fit = self.fit([member for member in ranked if member.key not in tried], work)
+        work, left = self.work(lookup), self.time_for(lookup)
+        tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
+        ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
+        fit = self.fit(ranked, work)
         if not fit:
             return None
-        spread = 1 + int(self.popularity(lookup) / HOT_SHARE)
-        first = fit[0] if spread == 1 else min(fit[:spread], key=self.crowd)
-        left = self.time_for(lookup)
+        hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
+        first = min(fit[:1 + int(self.count(lookup) / hot)], key=self.crowd)
         if not self.terms.sized or work * self.crowd(first) <= left:
             return first
         return next((member for member in fit if work * self.crowd(member) <= left), None)
@@ -320,10 +325,6 @@
         return sorted(members, key=lambda member: -math.log((mix(*what, member.key) + 1) / 2.0 ** 64)
                       / max(member.share * self.warmth(member), 1e-3))
 
-    def popularity(self, lookup: Lookup) -> float:
-        count = self.count(lookup)
-        return count / (self.total + 0.5 * self.older_total) if count >= 4 else 0.0
-
     def count(self, lookup: Lookup) -> float:
         spot = (lookup.key, lookup.part)
         return self.counts.get(spot, 0) + 0.5 * self.older.get(spot, 0)
@@ -334,9 +335,8 @@
         self.span_ends = self.now + POPULAR_SPAN
         self.beliefs = {spot: held for spot, held in self.beliefs.items()
                         if any(self.now - at < BELIEF_AGE for at in held.values())}
-        for book in (self.purged_keys, self.purged_groups):
-            for name in [name for name, at in book.items() if self.now - at > 2 * self.terms.purge_span]:
-                del book[name]
+        self.purges = {what: at for what, at in self.purges.items()
+                       if self.now - at < PURGE_KEPT * self.terms.purge_span}
 
     def rank(self, lookup: Lookup) -> int:
         """Kept by evidence that it is wanted again, so that what is asked for once wipes nothing."""
@@ -364,8 +364,8 @@
         if self.origin is not None and self.now >= self.origin.trial_due:
             self.origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
             return self.origin, False
-        ranked = self.by_hash(self.parents, lookup.key, lookup.part)
-        source = self.choose_outside(self.fit([parent for parent in ranked if parent not in tried], work))
+        ranked = self.by_hash([m for m in self.parents if m not in tried], lookup.key, lookup.part)
+        source = self.choose_outside(self.fit(ranked, work))
         if cache is None or source is None:
             return source or cache, False
         if self.too_late(source.recent, lookup) and not self.trial(source):
@@ -440,16 +440,11 @@
         warmth, rule = self.warmth(member), self.cold_rule(member)
         if warmth >= 1.0:
             return True
-        while member.spent and member.spent[0][0] < self.now - rule.span:
-            member.spent.popleft()
+        member.spent = [(at, spent) for at, spent in member.spent if at >= self.now - rule.span]
         sharers = self.terms.directors if member in self.parents else self.terms.directors_here
         room = COLD_FILL * member.share * warmth * rule.span / sharers
         return sum(spent for _, spent in member.spent) + work <= room
 
-    def told(self, member: Member, load: dict[str, float] | None) -> None:
-        if load and member in self.caches and "crowding" in load:
-            self.link, self.link_told = load["crowding"], self.now
-
     def too_late(self, delays: Histogram, lookup: Lookup) -> bool:
         """Whether a fill would miss the goal by its source's delay or the origin's; what is held must do.
 
@@ -465,12 +460,12 @@
         return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
 
     def purge_moment(self, lookup: Lookup) -> float:
-        return max(self.purged_keys.get(lookup.key, 0.0), self.purged_groups.get(lookup.group, 0.0))
+        return max(self.purges.get(what, 0.0) for what in (("object", lookup.key), ("group", lookup.group)))
 
     def max_age(self, lookup: Lookup) -> float:
         """Bounds the copy by the last purge; 0 would mean any age, so the bound stays above it."""
         moment = self.purge_moment(lookup)
-        if not moment or self.now - moment > 1.5 * self.terms.purge_span:
+        if not moment or self.now - moment > PURGE_KEPT * self.terms.purge_span:
             return 0.0
         bound = max(0.01, self.now - moment - PURGE_MARGIN)
         return min(bound, lookup.use_case.fresh_for or bound)
@@ -503,9 +498,9 @@
             self.mark(node, 0.0, "")
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
-            if source is not None and source is not node and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
-                sending = self.work(leg.lookup) * self.crowd(node)
-                delay = first_byte if self.terms.notes_all else max(1.0, wait - sending)
+            if source not in (None, node) and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
+                slowed = self.work(leg.lookup) * self.crowd(node)
+                delay = first_byte if self.terms.notes_all else wait - slowed
                 self.sign_of_life(source)
                 source.recent.add(self.now, delay)
                 source.usual.add(self.now, delay)
@@ -518,7 +513,7 @@
             self.mark(node, 2.0, outcome.name.lower())
         elif outcome == Outcome.ERROR:
             self.blame(leg, "error")
-        if source is None or source is node or outcome in (Outcome.CANCELLED, Outcome.MOOT):
+        if source in (None, node) or outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if note == Note.SOURCE_LACKS or (outcome == Outcome.MISS and note == Note.NONE):
             held.pop(source, None)
@@ -555,5 +550,4 @@
         if sick != member.shunned:
             member.shunned, member.trial_due = sick, self.now + TRIAL_EVERY
             word = f"shunned ({why})" if sick else "taken back"
-            figures = f"{bad:.1f} bad, {good:.1f} good lately, silence {member.quiet:.1f}"
-            self.out.log(f"member {member.key:x} {word}: {figures}")
+            self.out.log(f"{member.key:x} {word}: {bad:.1f} bad, {good:.1f} good, silence {member.quiet:.1f}")
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -116,7 +116,7 @@
             lookup = self.lookups.get(fields[0])
             if lookup is not None:
                 self.touched.append(lookup)
-                call(("left", (lookup,)))
+                call(("end", (lookup,)))
         elif code == wire.MEMBERSHIP:
             bank, how, _ = fields
             rows = [] if how == FAILED_LIST else [
@@ -124,12 +124,12 @@
                 for cell, kind, share, address, state, started, zone in banks[bank]]
             call(("listed", (rows, how != DELTA, how == FAILED_LIST)))
         elif code == wire.PONG:
-            address, status, wait, count, *values = fields
-            call(("probed", (self.node(address), status == 0, wait, self.load(count, tuple(values)))))
+            address, _, _, count, *values = fields
+            call(("told", (self.node(address), self.load(count, tuple(values)))))
         elif code == wire.STRUCK_OUT:
             call(("purged", (fields[0], fields[1], fields[2])))
         elif code == wire.OPENED:
-            call(("opened", (self.lookups[fields[0]].legs[fields[2]], fields[3])))
+            call(("sign_of_life", (self.lookups[fields[0]].legs[fields[2]].node,)))
 
     def play(self, now: float) -> None:
         if self.director is not None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -41,7 +41,7 @@
     assert delay < 900.0
     fleet.call("woken", lookup, after=delay)
     fleet.answer(lookup.legs[0], Outcome.CANCELLED, Note.NONE, after=1)
-    fleet.call("left", lookup, after=100)
+    fleet.call("end", lookup, after=100)
     assert len(fleet.out.take("push_back")) == 1 and not fleet.out.take("break_off")
     assert len(lookup.legs) == 1
 
