Charge a further leg by what the one before it wasted

A further leg after one that ended within a quarter of its work now costs 0.3. Covers any quick fault of many members; could harm where being turned away costs the caches much.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -26,6 +26,7 @@
 SICK_LEAST, SICK_SHARE = 2.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
+AGAIN_QUICK, QUICK = 0.3, 0.25  # a further leg's cost after one that ended within that part of its work
 AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
@@ -106,8 +107,6 @@
 
 
 class Director:
-    """Decides for one location, by what its own lookups have shown."""
-
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
         self.members: dict[Member, None] = {}  # all that were ever listed
@@ -211,9 +210,10 @@
         if len(lookup.legs) >= self.terms.legs_most or not self.may_send(lookup):
             return self.give_up(lookup)
         if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
-            if self.again < 1.0:
+            cost = AGAIN_QUICK if self.now - lookup.legs[-1].sent < QUICK * self.work(lookup) else 1.0
+            if self.again < cost:
                 return self.give_up(lookup)
-            self.again -= 1.0
+            self.again -= cost
         write, pass_by = lookup.use_case.never_kept, self.terms.may_pass_by
         cache = None if write and pass_by else self.choose_cache(lookup)
         if cache is None:
@@ -330,8 +330,7 @@
         return self.counts.get(spot, 0) + 0.5 * self.older.get(spot, 0)
 
     def turn_span(self) -> None:
-        self.older, self.counts = self.counts, {}
-        self.older_total, self.total = self.total, 0
+        self.older, self.counts, self.older_total, self.total = self.counts, {}, self.total, 0
         self.span_ends = self.now + POPULAR_SPAN
         self.beliefs = {spot: held for spot, held in self.beliefs.items()
                         if any(self.now - at < BELIEF_AGE for at in held.values())}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -198,3 +198,16 @@
         filled += leg.source in fleet.parents
         fleet.answer(leg)
     assert 0 < filled <= 6
+
+
+@pytest.mark.parametrize("after, least, most", [(50.0, 11, 13), (1.0, 30, 30)])
+def test_further_legs_keep_to_their_budget_and_cost_little_where_little_was_wasted(after, least, most):
+    """Without the budget, legs turned away came back as three or four more."""
+    fleet, further = Fleet(), 0
+    for _ in range(30):
+        lookup = fleet.look_up()
+        fleet.answer(lookup.legs[0], Outcome.TURNED_AWAY, Note.NO_PLACE, after=after)
+        further += len(lookup.legs) - 1
+        for leg in lookup.legs[1:]:
+            fleet.answer(leg)
+    assert least <= further <= most
