--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -58,8 +58,6 @@
     latency_goal: float
     goal_stretch: float  # the goal grows by this multiple of the answer's own sending time
     client_timeout: float
-    credit: float
-    late_share: float  # share of the credit for an answer past its latency goal
     memory_span: float  # how long a receipted repeat is known
     group: str  # which nodes know it: "all", "zone" or "cell"
     fresh_for: float
@@ -72,7 +70,6 @@
 
     starts_at: float  # share of its capacity at the start
     warm_in: float
-    multiple: float
     span: float
 
 
@@ -82,7 +79,6 @@
 
     use_cases: list[UseCase]
     zone: int
-    rank: int
     directors: int
     directors_here: int  # in this director's own location
     parent_kind: int
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -39,11 +39,10 @@
         allowed, domain, rules, report = boot["allowed"], boot["domain"], boot["rules"], boot["report"]
         use_cases = [
             UseCase(REPEAT[case["idempotency"]], case["slo"], case.get("aimStretch", 0.0), case["deadline"],
-                    case["credit"], case["lateWorth"], case["memorySpan"], case["group"],
-                    domain["freshFor"][at], domain["neverKept"][at])
+                    case["memorySpan"], case["group"], domain["freshFor"][at], domain["neverKept"][at])
             for at, case in enumerate(boot["classes"])]
         return Terms(
-            use_cases=use_cases, zone=boot["myZone"], rank=boot["rank"], directors=boot["balancers"],
+            use_cases=use_cases, zone=boot["myZone"], directors=boot["balancers"],
             directors_here=max(1, domain["countByZone"][boot["myZone"]]),
             parent_kind=domain["midKind"], origin_kind=domain["storeKind"],
             sized=boot["weights"] != "none", flow=domain["oneFlowKbPerS"] / 1000.0,
@@ -54,10 +53,8 @@
             notes_all=domain["noteLevel"] == "all", must_subscribe=boot["registryMode"] == "subscribe",
             reports=[REPORT_WORDS.get(word, word) for word in report["columns"]],
             asks_reports=report["how"] == "probe",
-            cold_cache=ColdRule(rules["coldFrom"], rules["cold"], rules["fallMultiple"],
-                                rules["overloadFor"]),
-            cold_parent=ColdRule(domain["parentStartsAt"], domain["parentWarmsIn"],
-                                 domain["parentLimitFactor"], rules["overloadFor"]),
+            cold_cache=ColdRule(rules["coldFrom"], rules["cold"], rules["overloadFor"]),
+            cold_parent=ColdRule(domain["parentStartsAt"], domain["parentWarmsIn"], rules["overloadFor"]),
             purge_span=domain["purgeTakes"])
     except KeyError as missing:
         raise wire.WireError(f"bootInfo lacks the key {missing}") from None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,11 +25,10 @@
     """A director before three caches, two parents and an origin; the clock moves with each call."""
 
     def __init__(self, repeat=PURE, group="all", never_kept=False, started=None, hub_started=0.0, **changes):
-        case = UseCase(repeat, 500.0, 2.0, 6000.0, 1.0, 0.2, 5000.0, group, 0.0, never_kept)
+        case = UseCase(repeat, 500.0, 2.0, 6000.0, 5000.0, group, 0.0, never_kept)
         terms = dict(
             use_cases=[case],
             zone=1,
-            rank=0,
             directors=3,
             directors_here=1,
             parent_kind=PARENT,
@@ -49,8 +48,8 @@
             must_subscribe=False,
             reports=["crowding"],
             asks_reports=False,
-            cold_cache=ColdRule(0.2, 17000.0, 2.5, 1500.0),
-            cold_parent=ColdRule(0.063, 20000.0, 2.0, 1500.0),
+            cold_cache=ColdRule(0.2, 17000.0, 1500.0),
+            cold_parent=ColdRule(0.063, 20000.0, 1500.0),
             purge_span=6000.0,
         )
         self.terms = Terms(**(terms | changes))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -80,8 +80,8 @@
         if caches_cold
         else (fleet.parents[0], fleet.terms.cold_parent)
     )
-    sharers = 1 if caches_cold else 3
-    assert sent[member] <= rule.multiple * 6.0 * rule.starts_at * 1500.0 / sharers * 1.2
+    sharers, multiple = (1, 2.5) if caches_cold else (3, 2.0)
+    assert sent[member] <= multiple * 6.0 * rule.starts_at * 1500.0 / sharers * 1.2
 
 
 @pytest.mark.parametrize("key, group", [(77, 1), (0, 1)])
