--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -16,6 +16,7 @@
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often: back within seconds, about 1 lookup in 20
 ORIGIN_TRIAL_EVERY = 2000.0  # the origin is passed over by rule and its bytes are priced, so it is asked less
+LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
@@ -56,12 +57,14 @@
         self.age(now)
         self.bins[min(10, max(0, int(max(value, 1.0)).bit_length() - 3))] += 1.0
 
-    def mean(self, now: float) -> float | None:
+    def sums(self, now: float) -> tuple[float, float]:
+        """The sum of the readings and their number."""
         self.age(now)
-        weight = sum(self.bins)
-        if weight < 0.1:
-            return None
-        return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)) / weight
+        return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)), sum(self.bins)
+
+    def mean(self, now: float) -> float | None:
+        total, weight = self.sums(now)
+        return total / weight if weight >= 0.1 else None
 
     def middle(self, now: float) -> float:
         """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
@@ -86,6 +89,7 @@
     def reset(self) -> None:
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
         self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
+        self.late = Histogram(HALF_RECENT)  # hits: time beyond their sending time, in percent of it
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned, self.trial_due = False, 0.0
         self.out: dict[Leg, None] = {}
@@ -316,9 +320,14 @@
         return next((member for member in fit if work * self.crowd(member) <= left), None)
 
     def crowd(self, member: Member) -> float:
-        """By how much a transfer is slowed there: those out over those that fit, as far as one can tell."""
-        fits = max(member.share * self.warmth(member), 0.1)
-        return max(1.0, (1 + len(member.out) * self.terms.directors_here) / fits)
+        """By how much a transfer is slowed there, as far as one can tell.
+
+        Recent hits show it (with one on time put in, as few are known), and so do this director's own legs
+        that are out, by as much as it stands for all directors of the location."""
+        total, weight = member.late.sums(self.now)
+        fits, sharers = max(member.share * self.warmth(member), 0.1), self.terms.directors_here
+        shown = 1.0 + 0.01 * total / (weight + 1.0)
+        return max(1.0, shown + ((1 + len(member.out) * sharers) / fits - shown) / sharers)
 
     def by_hash(self, members: list[Member], *what: int) -> list[Member]:
         """Rendezvous order, weighted by size and by how warm a member is: a lost one moves only its own."""
@@ -495,6 +504,9 @@
             self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
             self.mark(node, 0.0, "")
+            if note == Note.HIT:
+                work = self.work(leg.lookup)
+                node.late.add(self.now, 100.0 * (wait - work) / max(work, LEAST_WORK))
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source not in (None, node) and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
