--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -14,8 +14,9 @@
 from .interface import Writer
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
-TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often: back within seconds, about 1 lookup in 20
-ORIGIN_TRIAL_EVERY = 2000.0  # the origin is passed over by rule and its bytes are priced, so it is asked less
+TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
+TRIAL_EARNED, TRIALS_MOST = 0.05, 2.0  # trials each lookup earns, so that hundreds of directors swamp nothing
+ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
@@ -125,6 +126,7 @@
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed = not terms.must_subscribe
         self.again = AGAIN_MOST  # further legs that may go now
+        self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
         self.behind = Histogram(HALF_RECENT)  # delay of what came by way of the origin
         self.taken, self.pushing = Histogram(HALF_RECENT), False  # bin 0: lookups, bin 1: pushbacks
@@ -170,6 +172,7 @@
         self.counts[spot] = self.counts.get(spot, 0) + 1
         self.total += 1
         self.again = min(AGAIN_MOST, self.again + AGAIN_EARNED)
+        self.trials = min(TRIALS_MOST, self.trials + TRIAL_EARNED)
         self.weigh_pushbacks()
         if lookup.size and self.terms.flow:
             known = self.sending[lookup.use_case]
@@ -369,8 +372,7 @@
                         return sibling, True
             if work * self.link_slows() > self.time_for(lookup):
                 return cache, False
-        if self.origin is not None and self.now >= self.origin.trial_due:
-            self.origin.trial_due = self.now + ORIGIN_TRIAL_EVERY
+        if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
         ranked = self.by_hash([m for m in self.parents if m not in tried], lookup.key, lookup.part)
         source = self.choose_outside(self.fit(ranked, work))
@@ -413,9 +415,10 @@
 
     def trial(self, member: Member) -> bool:
         """Whether a passed-over member is due for a trial; it is then taken as given."""
-        if self.now < member.trial_due:
+        if self.now < member.trial_due or self.trials < 1.0:
             return False
         member.trial_due = self.now + TRIAL_EVERY
+        self.trials -= 1.0
         return True
 
     def delay(self, member: Member) -> float:
@@ -513,10 +516,11 @@
                 slowed = self.work(leg.lookup) * self.crowd(node)
                 delay = first_byte if self.terms.notes_all else wait - slowed
                 self.sign_of_life(source)
-                source.recent.add(self.now, delay)
-                source.usual.add(self.now, delay)
                 if note == Note.FILLED_BY_ORIGIN or source is self.origin:
                     self.behind.add(self.now, delay)
+                if note != Note.FILLED_BY_ORIGIN or source is self.origin:  # else it tells of the origin
+                    source.recent.add(self.now, delay)
+                    source.usual.add(self.now, delay)
                 self.mark(source, 0.0, "")
             return
         held.pop(node, None)
@@ -529,10 +533,10 @@
         if note == Note.SOURCE_LACKS or (outcome == Outcome.MISS and note == Note.NONE):
             held.pop(source, None)
         elif note in (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.ORIGIN_BROKE):
-            source.recent.add(self.now, leg.timeout)
             if note == Note.ORIGIN_BROKE or source is self.origin:
                 self.behind.add(self.now, leg.timeout)
             if note != Note.ORIGIN_BROKE:  # that is no fault of the parent's
+                source.recent.add(self.now, leg.timeout)
                 self.mark(source, 1.0, note.name.lower())
 
     def blame(self, leg: Leg, why: str) -> None:
