--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -7,6 +7,8 @@
 """
 
 import math
+from collections.abc import Iterator
+from itertools import chain, islice
 from random import Random
 from typing import Any
 
@@ -247,7 +249,7 @@
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
         renew = lookup.use_case.fresh_for > 0
         self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
-        self.out.wake(max(self.goal_left(lookup) - 1.2 * work - 50.0, CHECK_LEAST), leg)
+        self.out.wake(max(self.goal_left(lookup) - 1.2 * work / ADMIT - 50.0, CHECK_LEAST), leg)
 
     def check(self, leg: Leg) -> None:
         """A leg is overdue: where nothing was heard of its node or source since, it goes elsewhere."""
@@ -314,13 +316,11 @@
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, work)
-        if not fit:
-            return None
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
-        first = min(fit[:1 + int(self.count(lookup) / hot)], key=self.crowd)
-        if not self.terms.sized or work * self.crowd(first) <= left:
-            return first
-        return next((member for member in fit if work * self.crowd(member) <= left), None)
+        first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
+        if first and not self.terms.sized:
+            return first[0]
+        return next((member for member in chain(first, fit) if work * self.crowd(member) <= left), None)
 
     def crowd(self, member: Member) -> float:
         """By how much a transfer is slowed there, as far as one can tell.
@@ -368,7 +368,7 @@
                 limit = self.delay(cache) + NEAR
                 for sibling in self.caches:
                     if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
-                            and self.fit([sibling], work)):
+                            and any(self.fit([sibling], work))):
                         return sibling, True
             if work * self.link_slows() > self.time_for(lookup):
                 return cache, False
@@ -384,19 +384,17 @@
             return source, False
         return (cache, False) if source is self.origin else (source, True)
 
-    def choose_outside(self, fit: list[Member]) -> Member | None:
+    def choose_outside(self, fit: Iterator[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
-        origin = self.origin
-        if origin is None or not fit:
-            return origin or (fit[0] if fit else None)
-        measured = origin.recent.mean(self.now)
+        measured = self.origin.recent.mean(self.now) if self.origin is not None else None
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
-            return next((parent for parent in fit if self.trial(parent)), origin)
+            return next((parent for parent in fit if self.trial(parent)), self.origin)
+        first = None
         for parent in fit:
-            usual = parent.usual.mean(self.now)
+            first, usual = first or parent, parent.usual.mean(self.now)
             if usual is None or self.delay(parent) <= usual + NEAR or self.trial(parent):
                 return parent
-        return fit[0]
+        return first or self.origin
 
     def doubts_source(self, leg: Leg) -> bool:
         """Whether a leg that went wrong may have done so by its source, which is then not named again."""
@@ -431,10 +429,18 @@
 
     # The guards
 
-    def fit(self, members: list[Member], work: float) -> list[Member]:
-        """Those that may be sent to: the well ones, one on trial, or all where none is well."""
-        roomy = [member for member in members if self.has_room(member, work)]
-        return [member for member in roomy if not member.shunned or self.trial(member)] or roomy
+    def fit(self, members: list[Member], work: float) -> Iterator[Member]:
+        """Those that may be sent to, as far as asked for: the well and on trial, or all where none is well."""
+        sick, well = [], False
+        for member in members:
+            if self.has_room(member, work):
+                if not member.shunned or self.trial(member):
+                    well = True
+                    yield member
+                else:
+                    sick.append(member)
+        if not well:
+            yield from sick
 
     def cold_rule(self, member: Member) -> ColdRule:
         return self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
