--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -27,7 +27,8 @@
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together go to
-SICK_LEAST, SICK_SHARE = 2.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
+SICK_LEAST, SICK_SHARE = 1.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
+HEALTH_MOST = 12.0  # outcomes that count as recent; where few are seen, those of HALF_USUAL
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_QUICK, QUICK = 0.3, 0.25  # a further leg's cost after one that ended within that part of its work
@@ -91,7 +92,7 @@
 
     def reset(self) -> None:
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
-        self.health = Histogram(HALF_RECENT)  # bin 0: good outcomes, bin 1: bad ones
+        self.health = Histogram(HALF_USUAL)  # bin 0: good outcomes, bin 1: bad ones
         self.late = Histogram(HALF_RECENT)  # hits: time beyond their sending time, in percent of it
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned, self.trial_due = False, 0.0
@@ -430,7 +431,7 @@
     # The guards
 
     def fit(self, members: list[Member], work: float) -> Iterator[Member]:
-        """Those that may be sent to, as far as asked for: the well and on trial, or all where none is well."""
+        """Those that may be sent to, as asked for: the well and on trial, or all where none is well."""
         sick, well = [], False
         for member in members:
             if self.has_room(member, work):
@@ -546,16 +547,22 @@
                 self.mark(source, 1.0, note.name.lower())
 
     def blame(self, leg: Leg, why: str) -> None:
-        """A leg went wrong: its cache alone is to blame where a hit was due, else the source by half."""
+        """A leg went wrong: its cache alone is to blame where a hit was due, else both by their records."""
         if leg.bag or leg.source is None or leg.source is leg.node:
             return self.mark(leg.node, 1.0, why)
-        self.mark(leg.node, 0.5, why)
-        self.mark(leg.source, 0.5, why)
+        bad_share = []
+        for member in (leg.node, leg.source):
+            good, bad = member.health.bins[:2]
+            bad_share.append((bad + 0.5) / (good + bad + 1.0))
+        self.mark(leg.node, bad_share[0] / sum(bad_share), why)
+        self.mark(leg.source, bad_share[1] / sum(bad_share), why)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
         member.health.age(self.now)
         bins = member.health.bins
         bins[1 if bad else 0] += bad or 1.0
+        if bins[0] + bins[1] > HEALTH_MOST:
+            member.health.bins = [weight * 0.5 for weight in bins]
         self.judge(member, why)
 
     def sign_of_life(self, member: Member) -> None:
