--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -37,7 +37,6 @@
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
 ADMIT = 0.5  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
-FILL_ADMIT = 0.7  # the same for a fill over the location's link, whose crowding is told and not guessed
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
@@ -314,7 +313,7 @@
     # Which cache
 
     def choose_cache(self, lookup: Lookup) -> Member | None:
-        work, left = self.work(lookup), ADMIT * self.goal_left(lookup)
+        work, left = self.work(lookup), self.time_for(lookup)
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, work)
@@ -372,7 +371,7 @@
                     if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
                             and any(self.fit([sibling], work))):
                         return sibling, True
-            if work * self.link_slows() > FILL_ADMIT * self.goal_left(lookup):
+            if work * self.link_slows() > self.time_for(lookup):
                 return cache, False
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
@@ -503,6 +502,10 @@
         goal = min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
         return lookup.arrived + goal - self.now
 
+    def time_for(self, lookup: Lookup) -> float:
+        """How long an answer may be foretold to take."""
+        return ADMIT * self.goal_left(lookup)
+
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
         spot = (leg.lookup.key, leg.lookup.part)
