--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -27,7 +27,7 @@
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together go to
-SICK_LEAST, SICK_SHARE = 1.0, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
+SICK_LEAST, SICK_SHARE = 1.5, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
 HEALTH_MOST = 12.0  # outcomes that count as recent; where few are seen, those of HALF_USUAL
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
@@ -387,7 +387,7 @@
 
     def choose_outside(self, fit: Iterator[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
-        measured = self.origin.recent.mean(self.now) if self.origin is not None else None
+        measured = self.origin.usual.mean(self.now) if self.origin is not None else None
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), self.origin)
         first = None
@@ -556,6 +556,8 @@
             bad_share.append((bad + 0.5) / (good + bad + 1.0))
         self.mark(leg.node, bad_share[0] / sum(bad_share), why)
         self.mark(leg.source, bad_share[1] / sum(bad_share), why)
+        if bad_share[1] >= bad_share[0]:
+            leg.source.recent.add(self.now, leg.timeout)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
         member.health.age(self.now)
