--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -386,17 +386,25 @@
         return (cache, False) if source is self.origin else (source, True)
 
     def choose_outside(self, fit: Iterator[Member]) -> Member | None:
-        """The hashed parent, the next when that one is slower than usual, the origin when all are slow."""
+        """The hashed parent, the next when that one is slower than usual, the origin when all are slow.
+
+        What has risen at all alike sends nobody on: next ones would lack the objects, and the origin be asked."""
         measured = self.origin.usual.mean(self.now) if self.origin is not None else None
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), self.origin)
-        first = None
+        first, rises = None, [self.rise(parent) for parent in self.parents]
+        common = max(0.0, sum(rises) / len(rises)) if rises else 0.0
         for parent in fit:
-            first, usual = first or parent, parent.usual.mean(self.now)
-            if usual is None or self.delay(parent) <= usual + NEAR or self.trial(parent):
+            first = first or parent
+            if self.rise(parent) <= common + NEAR or self.trial(parent):
                 return parent
         return first or self.origin
 
+    def rise(self, parent: Member) -> float:
+        """How far its delay has risen above its usual level, one usual reading put in as few are known."""
+        (total, number), usual = parent.recent.sums(self.now), parent.usual.mean(self.now)
+        return 0.0 if usual is None else (total - number * usual) / (number + 1.0)
+
     def doubts_source(self, leg: Leg) -> bool:
         """Whether a leg that went wrong may have done so by its source, which is then not named again."""
         if leg.outcome in (None, Outcome.CANCELLED, Outcome.TIMEOUT):
