A source that refuses is crowded, not sick: not shunned for it

On a drawn hub loss the parents left refused fills, were shunned as sick like the dead ones, and with none well the dead ones were named again.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -388,7 +388,7 @@
     def choose_outside(self, fit: Iterator[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow.
 
-        What has risen at all alike sends nobody on: next ones would lack the objects, and the origin be asked."""
+        What has risen at all alike sends nobody on: next ones lack the objects, and the origin is asked."""
         measured = self.origin.usual.mean(self.now) if self.origin is not None else None
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), self.origin)
@@ -552,6 +552,9 @@
                 self.behind.add(self.now, leg.timeout)
             if note != Note.ORIGIN_BROKE:  # that is no fault of the parent's
                 source.recent.add(self.now, leg.timeout)
+            if note == Note.SOURCE_REFUSED:  # it lives and is crowded: its delay tells, it is not sick
+                self.sign_of_life(source)
+            elif note == Note.SOURCE_LOST:
                 self.mark(source, 1.0, note.name.lower())
 
     def blame(self, leg: Leg, why: str) -> None:
