--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -21,6 +21,8 @@
 ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
+HALF_BEHIND = 4000.0  # one director sees the origin's delay about once a second
+SPREAD = 1.5  # a fill is begun while this multiple of the middle delay leaves it time: half of all come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
 HOT_LEAST = 4.0  # fewer sightings make nothing hot
@@ -74,7 +76,7 @@
         """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
         self.age(now)
         half = sum(self.bins) / 2.0
-        if half < 1.0:
+        if half < 0.75:
             return 0.0
         place = 0
         while half >= self.bins[place]:
@@ -131,7 +133,7 @@
         self.again = AGAIN_MOST  # further legs that may go now
         self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
-        self.behind = Histogram(HALF_RECENT)  # delay of what came by way of the origin
+        self.behind = Histogram(HALF_BEHIND)  # delay of what came by way of the origin
         self.taken, self.pushing = Histogram(HALF_RECENT), False  # bin 0: lookups, bin 1: pushbacks
         self.probe_due = now
         self.out: Writer
@@ -476,7 +478,7 @@
 
         Guards against a crowded source that more fills would hold crowded. Covers a slow or stopped origin,
         slow or cold parents and flushes; could harm where a source is far and goals are short."""
-        return delays.middle(self.now) + self.work(lookup) > self.goal_left(lookup)
+        return SPREAD * delays.middle(self.now) + self.work(lookup) > self.goal_left(lookup)
 
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told; one that would be late is not begun.
