--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -22,7 +22,7 @@
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
 HALF_BEHIND = 4000.0  # one director sees the origin's delay about once a second
-SPREAD = 1.5  # a fill is begun while this multiple of the middle delay leaves it time: half of all come later
+SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half of all come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
 HOT_LEAST = 4.0  # fewer sightings make nothing hot
@@ -76,7 +76,7 @@
         """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
         self.age(now)
         half = sum(self.bins) / 2.0
-        if half < 0.75:
+        if half < 1.0:
             return 0.0
         place = 0
         while half >= self.bins[place]:
