--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -99,7 +99,7 @@
         self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
         self.shunned, self.trial_due = False, 0.0
         self.out: dict[Leg, None] = {}
-        self.room, self.room_at = 0.0, 0.0  # what this director may send it while cold, and up to when counted
+        self.spent: list[tuple[float, float]] = []  # what this director sent it while cold
 
 
 def mix(*parts: int) -> int:
@@ -245,6 +245,9 @@
         lookup.legs.append(leg)
         node.out[leg] = None
         work = self.work(lookup)
+        for member in {node: None, source: None}:
+            if member is not None and self.warmth(member) < 1.0:
+                member.spent.append((self.now, work))
         keep = self.rank(lookup) if node in self.caches else 0
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
         renew = lookup.use_case.fresh_for > 0
@@ -315,7 +318,7 @@
         work, left = self.work(lookup), self.time_for(lookup)
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
-        fit = self.fit(ranked, lookup)
+        fit = self.fit(ranked, work)
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
         first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
         if first and not self.terms.sized:
@@ -368,14 +371,14 @@
                 limit = self.delay(cache) + NEAR
                 for sibling in self.caches:
                     if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
-                            and any(self.fit([sibling], lookup))):
+                            and any(self.fit([sibling], work))):
                         return sibling, True
             if work * self.link_slows() > self.time_for(lookup):
                 return cache, False
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
         ranked = self.by_hash([m for m in self.parents if m not in tried], lookup.key, lookup.part)
-        source = self.choose_outside(self.fit(ranked, lookup))
+        source = self.choose_outside(self.fit(ranked, work))
         if cache is None or source is None:
             return source or cache, False
         if self.too_late(source.recent, lookup) and not self.trial(source):
@@ -437,11 +440,11 @@
 
     # The guards
 
-    def fit(self, members: list[Member], lookup: Lookup) -> Iterator[Member]:
+    def fit(self, members: list[Member], work: float) -> Iterator[Member]:
         """Those that may be sent to, as asked for: the well and on trial, or all where none is well."""
         sick, well = [], False
         for member in members:
-            if self.has_room(member, lookup):
+            if self.has_room(member, work):
                 if not member.shunned or self.trial(member):
                     well = True
                     yield member
@@ -460,22 +463,15 @@
         rule = self.cold_rule(member)
         return min(1.0, rule.starts_at + (1.0 - rule.starts_at) * (self.now - member.started) / rule.warm_in)
 
-    def has_room(self, member: Member, lookup: Lookup) -> bool:
-        """A cold member gets this director's part of what it can do now, counted over two spans of the rule.
-
-        Where that is less than one lookup, chance decides, so that all directors together send the whole of
-        it, and none saves it up: room that was asked for is gone, whether used or not."""
+    def has_room(self, member: Member, work: float) -> bool:
+        """A cold member gets this director's part of what it can do now, over any span of the rule."""
         warmth, rule = self.warmth(member), self.cold_rule(member)
         if warmth >= 1.0:
             return True
+        member.spent = [(at, spent) for at, spent in member.spent if at >= self.now - rule.span]
         sharers = self.terms.directors if member in self.parents else self.terms.directors_here
-        since = min(self.now - max(member.room_at, member.started), 2.0 * rule.span)
-        room = member.room + since * COLD_FILL * member.share * warmth / sharers
-        total, number = self.sending[lookup.use_case]
-        cost = max(self.work(lookup), total / number if number and member in self.caches else 0.0)
-        fits = self.random.random() * cost < room
-        member.room, member.room_at = max(0.0, room - cost), self.now
-        return fits
+        room = COLD_FILL * member.share * warmth * rule.span / sharers
+        return sum(spent for _, spent in member.spent) + work <= room
 
     def too_late(self, delays: Histogram, lookup: Lookup) -> bool:
         """Whether a fill would miss the goal by its source's delay or the origin's; what is held must do.
