--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -391,7 +391,9 @@
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow.
 
         What has risen at all alike sends nobody on: next ones lack the objects, and the origin is asked."""
-        measured = self.origin.usual.mean(self.now) if self.origin is not None else None
+        measured = None
+        if self.origin is not None:
+            measured = self.origin.recent.mean(self.now) or self.origin.usual.mean(self.now)
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), self.origin)
         first, rises = None, [self.rise(parent) for parent in self.parents]
@@ -569,8 +571,6 @@
             bad_share.append((bad + 0.5) / (good + bad + 1.0))
         self.mark(leg.node, bad_share[0] / sum(bad_share), why)
         self.mark(leg.source, bad_share[1] / sum(bad_share), why)
-        if bad_share[1] >= bad_share[0]:
-            leg.source.recent.add(self.now, leg.timeout)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
         member.health.age(self.now)
