--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -38,7 +38,8 @@
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
-ADMIT = 0.6  # a lookup is taken while its answer is foretold within this part of its goal: more come behind
+ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # a lookup is taken while its answer is foretold within the first part of its
+# goal, plus the second by the root of the location's directors: what others take meanwhile is not seen
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
@@ -130,6 +131,7 @@
         self.purges: dict[tuple[str, int], float] = {}  # moment of the last purge of an object or a group
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed = not terms.must_subscribe
+        self.admit = ADMIT_MANY + ADMIT_ALONE / math.sqrt(terms.directors_here)
         self.again = AGAIN_MOST  # further legs that may go now
         self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
@@ -252,7 +254,7 @@
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
         renew = lookup.use_case.fresh_for > 0
         self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
-        self.out.wake(max(self.goal_left(lookup) - 1.2 * work / ADMIT - 50.0, CHECK_LEAST), leg)
+        self.out.wake(max(self.goal_left(lookup) - 1.2 * work / self.admit - 50.0, CHECK_LEAST), leg)
 
     def check(self, leg: Leg) -> None:
         """A leg is overdue: where nothing was heard of its node or source since, it goes elsewhere."""
@@ -516,7 +518,7 @@
 
     def time_for(self, lookup: Lookup) -> float:
         """How long an answer may be foretold to take."""
-        return ADMIT * self.goal_left(lookup)
+        return self.admit * self.goal_left(lookup)
 
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
