--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -12,8 +12,7 @@
 from random import Random
 from typing import Any
 
-from .interface import EFFECTFUL, PURE, RECEIPTED, ColdRule, Leg, Lookup, Node, Note, Outcome, State, Terms
-from .interface import Writer
+from .interface import EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
@@ -22,15 +21,13 @@
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
 HALF_BEHIND = 4000.0  # one director sees the origin's delay about once a second
-SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half of all come later
+SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
-HOT_SHARE = 0.02  # share of this director's recent lookups above which an object goes to one more cache
-HOT_LEAST = 4.0  # fewer sightings make nothing hot
+HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together go to
-SICK_LEAST, SICK_SHARE = 1.5, 0.3  # bad outcomes, and their share of the recent ones, that shun a member
-HEALTH_MOST = 12.0  # outcomes that count as recent; where few are seen, those of HALF_USUAL
+SICK_LEAST, SICK_SHARE, HEALTH_MOST = 1.5, 0.3, 12.0  # bad outcomes, their share of so many, that shun
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_QUICK, QUICK = 0.3, 0.25  # a further leg's cost after one that ended within that part of its work
@@ -38,14 +35,12 @@
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
-ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # a lookup is taken while its answer is foretold within the first part of its
-# goal, plus the second by the root of the location's directors: what others take meanwhile is not seen
+ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
-PURGE_MARGIN = 3.0  # a copy must be younger than the purge by so much
-PURGE_KEPT = 1.5  # a purge binds for this multiple of the time in which all caches have dropped older copies
+PURGE_MARGIN, PURGE_KEPT = 3.0, 1.5  # a copy is younger than the purge by so much; purge spans it binds
 
 
 class Histogram:
@@ -65,7 +60,6 @@
         self.bins[min(10, max(0, int(max(value, 1.0)).bit_length() - 3))] += 1.0
 
     def sums(self, now: float) -> tuple[float, float]:
-        """The sum of the readings and their number."""
         self.age(now)
         return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)), sum(self.bins)
 
@@ -77,22 +71,16 @@
         """The middle reading, which a few failures do not move; 0 while there are too few to tell."""
         self.age(now)
         half = sum(self.bins) / 2.0
-        if half < 1.0:
-            return 0.0
-        place = 0
-        while half >= self.bins[place]:
-            half -= self.bins[place]
-            place += 1
-        return 4.0 * 2.0 ** place * (1.0 + half / self.bins[place])
+        for place, count in enumerate(self.bins if half >= 1.0 else ()):
+            if half < count:
+                return 4.0 * 2.0 ** place * (1.0 + half / count)
+            half -= count
+        return 0.0
 
 
 class Member(Node):
     """A cache, parent or the origin with what this director has seen of it."""
 
-    def __init__(self, key: int) -> None:
-        super().__init__(key)
-        self.reset()
-
     def reset(self) -> None:
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
         self.health = Histogram(HALF_USUAL)  # bin 0: good outcomes, bin 1: bad ones
@@ -121,24 +109,20 @@
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
         self.members: dict[Member, None] = {}  # all that were ever listed
-        self.caches: list[Member] = []  # the ready ones of this location
-        self.parents: list[Member] = []
-        self.origin: Member | None = None
+        self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
         self.counts: dict[tuple[int, int], int] = {}
         self.older: dict[tuple[int, int], int] = {}
         self.total, self.older_total, self.span_ends = 0, 0, now + POPULAR_SPAN
         self.beliefs: dict[tuple[int, int], dict[Member, float]] = {}
         self.purges: dict[tuple[str, int], float] = {}  # moment of the last purge of an object or a group
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
-        self.subscribed = not terms.must_subscribe
+        self.subscribed, self.probe_due = not terms.must_subscribe, now
         self.admit = ADMIT_MANY + ADMIT_ALONE / math.sqrt(terms.directors_here)
         self.again = AGAIN_MOST  # further legs that may go now
         self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
         self.behind = Histogram(HALF_BEHIND)  # delay of what came by way of the origin
         self.taken, self.pushing = Histogram(HALF_RECENT), False  # bin 0: lookups, bin 1: pushbacks
-        self.probe_due = now
-        self.out: Writer
 
     # What comes in; `end` (the client left) and `sign_of_life` are called from outside, too
 
@@ -161,7 +145,7 @@
             for member in self.members:
                 member.state = State.GONE
         for member, state, share, kind, zone, cell, started in rows:
-            if started != member.started and member in self.members:
+            if started != member.started or member not in self.members:
                 member.reset()
             member.state, member.share, member.kind = state, share, kind
             member.zone, member.cell, member.started = zone, cell, started
@@ -197,10 +181,7 @@
         if closed:
             self.end(lookup)
         elif not lookup.ended and not any(other.outcome is None for other in lookup.legs):
-            if self.now >= lookup.until - GUARD:
-                self.give_up(lookup)
-            else:
-                self.route(lookup)
+            self.route(lookup)
 
     def woken(self, about: Lookup | Leg) -> None:
         if isinstance(about, Lookup):
@@ -236,8 +217,9 @@
                 return self.give_up(lookup)
             return self.send(lookup, source, source, False)
         source, held_only = (self.origin, False) if write else self.choose_source(lookup, cache)
-        if held_only or source is cache:  # where that fell short before, no sibling asked, it would again
-            if (source is cache or source not in self.caches) and any(map(self.fell_short, lookup.legs)):
+        if source is cache or (held_only and source not in self.caches):  # that fell short before?
+            if any(leg.outcome == Outcome.MISS and (leg.source is leg.node or leg.source not in self.caches)
+                   for leg in lookup.legs):
                 return self.give_up(lookup)
         return self.send(lookup, cache, source, held_only)
 
@@ -252,8 +234,7 @@
                 member.spent.append((self.now, work))
         keep = self.rank(lookup) if node in self.caches else 0
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
-        renew = lookup.use_case.fresh_for > 0
-        self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
+        self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, lookup.use_case.fresh_for > 0)
         self.out.wake(max(self.goal_left(lookup) - 1.2 * work / self.admit - 50.0, CHECK_LEAST), leg)
 
     def check(self, leg: Leg) -> None:
@@ -272,12 +253,11 @@
         for member in doubtful:
             member.quiet += sign / len(doubtful)
             self.judge(member, "silent")
-        if sign < OVERDUE or leg is not lookup.legs[-1] or lookup.use_case.repeat == EFFECTFUL:
-            return
-        if self.terms.two_legs:
-            self.route(lookup)
-        elif self.terms.may_cancel:
-            self.out.abandon(leg)
+        if sign >= OVERDUE and leg is lookup.legs[-1] and lookup.use_case.repeat != EFFECTFUL:
+            if self.terms.two_legs:
+                self.route(lookup)
+            elif self.terms.may_cancel:
+                self.out.abandon(leg)
 
     def give_up(self, lookup: Lookup) -> None:
         """The final answer, at once; a pushback tells the client when to come back."""
@@ -297,8 +277,8 @@
         if self.pushing != (pushed > (PUSHED_SHARE / 2 if self.pushing else PUSHED_SHARE) * taken):
             self.pushing = not self.pushing
             word = "pushing back" if self.pushing else "taking all again"
-            causes = f"link {self.link:.1f} crowded, origin {self.behind.middle(self.now):.0f} ms"
-            self.out.log(f"{word}: {pushed:.0f} of {taken:.0f} lookups, {causes}")
+            self.out.log(f"{word}: {pushed:.0f} of {taken:.0f} lookups, link {self.link:.1f} crowded, "
+                         f"origin {self.behind.middle(self.now):.0f} ms")
 
     def end(self, lookup: Lookup) -> None:
         lookup.ended = True
@@ -309,29 +289,25 @@
     def may_send(self, lookup: Lookup) -> bool:
         """Whether another leg can do no harm."""
         case, doubtful = lookup.use_case, may_have_run(lookup)
-        if not doubtful or case.repeat == PURE:
-            return True
-        in_span = self.now < doubtful[0].sent + case.memory_span - GUARD
-        return case.repeat == RECEIPTED and case.group == "all" and in_span
+        if self.now >= lookup.until - GUARD or not doubtful or case.repeat == PURE:
+            return self.now < lookup.until - GUARD
+        known = case.repeat == RECEIPTED and case.group == "all"
+        return known and self.now < doubtful[0].sent + case.memory_span - GUARD
 
     # Which cache
 
     def choose_cache(self, lookup: Lookup) -> Member | None:
-        work, left = self.work(lookup), self.time_for(lookup)
+        work, left = self.work(lookup), self.admit * self.goal_left(lookup) if self.terms.sized else math.inf
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, work)
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
         first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
-        if first and not self.terms.sized:
-            return first[0]
         return next((member for member in chain(first, fit) if work * self.crowd(member) <= left), None)
 
     def crowd(self, member: Member) -> float:
-        """By how much a transfer is slowed there, as far as one can tell.
-
-        Recent hits show it (with one on time put in, as few are known), and so do this director's own legs
-        that are out, by as much as it stands for all directors of the location."""
+        """By how much a transfer is slowed there: recent hits show it (one on time put in, as few are known),
+        and this director's own legs that are out, by as much as it stands for the location's directors."""
         total, weight = member.late.sums(self.now)
         fits, sharers = max(member.share * self.warmth(member), 0.1), self.terms.directors_here
         shown = 1.0 + 0.01 * total / (weight + 1.0)
@@ -357,10 +333,9 @@
     def rank(self, lookup: Lookup) -> int:
         """Kept by evidence that it is wanted again, so that what is asked for once wipes nothing."""
         known = self.sending[lookup.use_case]
-        count = self.count(lookup)
-        if count < 2 and known[1] and self.work(lookup) > OVERSIZED * known[0] / known[1]:
-            return 0
-        return 1 if count < 2 else 2
+        if self.count(lookup) >= 2:
+            return 2
+        return 0 if known[1] and self.work(lookup) > OVERSIZED * known[0] / known[1] else 1
 
     # Which source
 
@@ -369,13 +344,12 @@
         work = self.work(lookup)
         tried = {leg.source for leg in lookup.legs if self.doubts_source(leg)}
         if cache is not None:
-            if self.terms.siblings and not self.holds(cache, lookup):
-                limit = self.delay(cache) + NEAR
-                for sibling in self.caches:
-                    if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
-                            and any(self.fit([sibling], work))):
-                        return sibling, True
-            if work * self.link_slows() > self.time_for(lookup):
+            limit, asks = self.delay(cache) + NEAR, self.terms.siblings and not self.holds(cache, lookup)
+            for sibling in self.caches if asks else ():
+                if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
+                        and any(self.fit([sibling], work))):
+                    return sibling, True
+            if work * self.link_slows() > self.admit * self.goal_left(lookup):
                 return cache, False
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
@@ -383,23 +357,18 @@
         source = self.choose_outside(self.fit(ranked, work))
         if cache is None or source is None:
             return source or cache, False
-        if self.too_late(source.recent, lookup) and not self.trial(source):
-            return cache, False
-        if not self.too_late(self.behind, lookup):
-            return source, False
-        return (cache, False) if source is self.origin else (source, True)
+        held_only = self.too_late(self.behind, lookup)
+        late = self.too_late(source.recent, lookup) and not self.trial(source)
+        return (cache, False) if late or (held_only and source is self.origin) else (source, held_only)
 
     def choose_outside(self, fit: Iterator[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow.
-
-        What has risen at all alike sends nobody on: next ones lack the objects, and the origin is asked."""
-        measured = None
-        if self.origin is not None:
-            measured = self.origin.recent.mean(self.now) or self.origin.usual.mean(self.now)
+        What rose at all alike sends nobody on: next ones lack the objects, and the origin would be asked."""
+        origin = self.origin
+        measured = origin and (origin.recent.mean(self.now) or origin.usual.mean(self.now))
         if measured is not None and all(self.delay(parent) > measured + NEAR for parent in self.parents):
             return next((parent for parent in fit if self.trial(parent)), self.origin)
-        first, rises = None, [self.rise(parent) for parent in self.parents]
-        common = max(0.0, sum(rises) / len(rises)) if rises else 0.0
+        first, common = None, max(0.0, sum(map(self.rise, self.parents)) / max(1, len(self.parents)))
         for parent in fit:
             first = first or parent
             if self.rise(parent) <= common + NEAR or self.trial(parent):
@@ -417,10 +386,6 @@
             return leg.source is not None and leg.source.heard < leg.sent
         return leg.outcome in (Outcome.ERROR, Outcome.TURNED_AWAY, Outcome.MISS)
 
-    def fell_short(self, leg: Leg) -> bool:
-        """Whether the leg showed that neither the cache nor what it was to ask outside holds the object."""
-        return leg.outcome == Outcome.MISS and (leg.source is leg.node or leg.source not in self.caches)
-
     def holds(self, cache: Member, lookup: Lookup) -> bool:
         """Whether a recent answer makes us believe that the cache holds a copy that will do."""
         at = self.beliefs.get((lookup.key, lookup.part), {}).get(cache, 0.0)
@@ -428,11 +393,10 @@
 
     def trial(self, member: Member) -> bool:
         """Whether a passed-over member is due for a trial; it is then taken as given."""
-        if self.now < member.trial_due or self.trials < 1.0:
-            return False
-        member.trial_due = self.now + TRIAL_EVERY
-        self.trials -= 1.0
-        return True
+        due = self.now >= member.trial_due and self.trials >= 1.0
+        if due:
+            member.trial_due, self.trials = self.now + TRIAL_EVERY, self.trials - 1.0
+        return due
 
     def delay(self, member: Member) -> float:
         """The smoothed delay; an unmeasured member gets the average of the measured."""
@@ -448,16 +412,14 @@
         """Those that may be sent to, as asked for: the well and on trial, or all where none is well."""
         sick, well = [], False
         for member in members:
-            if self.has_room(member, work):
-                if not member.shunned or self.trial(member):
-                    well = True
-                    yield member
-                else:
-                    sick.append(member)
-        if not well:
-            yield from sick
-
-    def cold_rule(self, member: Member) -> ColdRule:
+            if self.has_room(member, work) and (not member.shunned or self.trial(member)):
+                well = True
+                yield member
+            elif member.shunned:
+                sick.append(member)
+        yield from () if well else (member for member in sick if self.has_room(member, work))
+
+    def cold_rule(self, member: Member) -> Any:
         return self.terms.cold_parent if member.kind == self.terms.parent_kind else self.terms.cold_cache
 
     def warmth(self, member: Member) -> float:
@@ -479,16 +441,12 @@
 
     def too_late(self, delays: Histogram, lookup: Lookup) -> bool:
         """Whether a fill would miss the goal by its source's delay or the origin's; what is held must do.
-
-        Guards against a crowded source that more fills would hold crowded. Covers a slow or stopped origin,
-        slow or cold parents and flushes; could harm where a source is far and goals are short."""
+        Guards against a source that more fills hold crowded, from any cause; could harm short goals afar."""
         return SPREAD * delays.middle(self.now) + self.work(lookup) > self.goal_left(lookup)
 
     def link_slows(self) -> float:
         """By how much a fill from outside is slowed, as last told; one that would be late is not begun.
-
-        Guards against a link that fills jam for good: they run on when their clients have left. Covers any
-        cause of many misses (flush, cold caches, new big objects); could harm where reports are wrong."""
+        Guards against a link jammed for good by fills, from any cause; could harm if reports are wrong."""
         return max(1.0, self.link / FILL_PACE) if self.now - self.link_told < REPORT_AGE else 1.0
 
     def purge_moment(self, lookup: Lookup) -> float:
@@ -516,10 +474,6 @@
         goal = min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
         return lookup.arrived + goal - self.now
 
-    def time_for(self, lookup: Lookup) -> float:
-        """How long an answer may be foretold to take."""
-        return self.admit * self.goal_left(lookup)
-
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
         spot = (leg.lookup.key, leg.lookup.part)
@@ -528,14 +482,13 @@
             self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
             self.mark(node, 0.0, "")
+            work = self.work(leg.lookup)
             if note == Note.HIT:
-                work = self.work(leg.lookup)
                 node.late.add(self.now, 100.0 * (wait - work) / max(work, LEAST_WORK))
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source not in (None, node) and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
-                slowed = self.work(leg.lookup) * self.crowd(node)
-                delay = first_byte if self.terms.notes_all else wait - slowed
+                delay = first_byte if self.terms.notes_all else wait - work * self.crowd(node)
                 self.sign_of_life(source)
                 if note == Note.FILLED_BY_ORIGIN or source is self.origin:
                     self.behind.add(self.now, delay)
@@ -567,12 +520,10 @@
         """A leg went wrong: its cache alone is to blame where a hit was due, else both by their records."""
         if leg.bag or leg.source is None or leg.source is leg.node:
             return self.mark(leg.node, 1.0, why)
-        bad_share = []
-        for member in (leg.node, leg.source):
-            good, bad = member.health.bins[:2]
-            bad_share.append((bad + 0.5) / (good + bad + 1.0))
-        self.mark(leg.node, bad_share[0] / sum(bad_share), why)
-        self.mark(leg.source, bad_share[1] / sum(bad_share), why)
+        both = (leg.node, leg.source)
+        shares = [(member.health.bins[1] + 0.5) / (sum(member.health.bins) + 1.0) for member in both]
+        for member, share in zip(both, shares, strict=True):
+            self.mark(member, share / sum(shares), why)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
         member.health.age(self.now)
