--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -2,8 +2,7 @@
 
 The caller makes a Director at a start and calls `round(now, inbox, out)` with all that came in: `inbox` holds
 tuples that name one of the methods under "What comes in" with its arguments, and decisions go to `out` at
-once. The shared types and the Writer stand in interface.py; Member is the module's own Node. Reading order:
-what comes in, the way of a lookup, which cache, which source, the guards, what is learnt.
+once. The shared types and the Writer stand in interface.py; Member is the module's own Node.
 """
 
 import math
@@ -35,7 +34,7 @@
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
-ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
+ADMIT_MANY, ADMIT_ALONE = 0.15, 0.4  # part of the goal's slack that may be foretold as used; the 2nd if alone
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
@@ -232,10 +231,10 @@
         for member in {node: None, source: None}:
             if member is not None and self.warmth(member) < 1.0:
                 member.spent.append((self.now, work))
-        keep = self.rank(lookup) if node in self.caches else 0
+        keep, renew = self.rank(lookup) if node in self.caches else 0, lookup.use_case.fresh_for > 0
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
-        self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, lookup.use_case.fresh_for > 0)
-        self.out.wake(max(self.goal_left(lookup) - 1.2 * work / self.admit - 50.0, CHECK_LEAST), leg)
+        self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
+        self.out.wake(max(self.goal_left(lookup) - 1.2 * self.work(lookup) - 50.0, CHECK_LEAST), leg)
 
     def check(self, leg: Leg) -> None:
         """A leg is overdue: where nothing was heard of its node or source since, it goes elsewhere."""
@@ -287,7 +286,6 @@
                 self.out.abandon(leg)
 
     def may_send(self, lookup: Lookup) -> bool:
-        """Whether another leg can do no harm."""
         case, doubtful = lookup.use_case, may_have_run(lookup)
         if self.now >= lookup.until - GUARD or not doubtful or case.repeat == PURE:
             return self.now < lookup.until - GUARD
@@ -297,13 +295,13 @@
     # Which cache
 
     def choose_cache(self, lookup: Lookup) -> Member | None:
-        work, left = self.work(lookup), self.admit * self.goal_left(lookup) if self.terms.sized else math.inf
+        most = self.bearable(lookup) if self.terms.sized else math.inf
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
-        fit = self.fit(ranked, work)
+        fit = self.fit(ranked, self.work(lookup))
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
         first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
-        return next((member for member in chain(first, fit) if work * self.crowd(member) <= left), None)
+        return next((member for member in chain(first, fit) if self.crowd(member) <= most), None)
 
     def crowd(self, member: Member) -> float:
         """By how much a transfer is slowed there: recent hits show it (one on time put in, as few are known),
@@ -349,7 +347,7 @@
                 if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
                         and any(self.fit([sibling], work))):
                     return sibling, True
-            if work * self.link_slows() > self.admit * self.goal_left(lookup):
+            if self.link_slows() > self.bearable(lookup):
                 return cache, False
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
@@ -463,7 +461,6 @@
     # What is learnt
 
     def work(self, lookup: Lookup) -> float:
-        """The sending time of the answer at full pace."""
         if lookup.size and self.terms.flow:
             return lookup.size / self.terms.flow
         total, number = self.sending[lookup.use_case]
@@ -474,6 +471,10 @@
         goal = min(case.client_timeout, case.latency_goal + case.goal_stretch * self.work(lookup))
         return lookup.arrived + goal - self.now
 
+    def bearable(self, lookup: Lookup) -> float:
+        """By how much an answer may be foretold to be slowed: others, not seen, are taken meanwhile."""
+        return 1.0 + self.admit * (self.goal_left(lookup) / self.work(lookup) - 1.0)
+
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
         spot = (leg.lookup.key, leg.lookup.part)
