--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -19,7 +19,7 @@
 ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
-HALF_BEHIND = 4000.0  # one director sees the origin's delay about once a second
+HALF_BEHIND = 4000.0  # the same of the origin's delay, which one director sees about once a second
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
@@ -34,7 +34,8 @@
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
-ADMIT_MANY, ADMIT_ALONE = 0.15, 0.4  # part of the goal's slack that may be foretold as used; the 2nd if alone
+ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
+CALM = 1.2  # slowed by less than this, within the noise of coarse bins, a cache or link takes all that fits
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
 COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
@@ -385,12 +386,10 @@
         return leg.outcome in (Outcome.ERROR, Outcome.TURNED_AWAY, Outcome.MISS)
 
     def holds(self, cache: Member, lookup: Lookup) -> bool:
-        """Whether a recent answer makes us believe that the cache holds a copy that will do."""
         at = self.beliefs.get((lookup.key, lookup.part), {}).get(cache, 0.0)
         return at > max(self.now - BELIEF_AGE, self.purge_moment(lookup))
 
     def trial(self, member: Member) -> bool:
-        """Whether a passed-over member is due for a trial; it is then taken as given."""
         due = self.now >= member.trial_due and self.trials >= 1.0
         if due:
             member.trial_due, self.trials = self.now + TRIAL_EVERY, self.trials - 1.0
@@ -472,8 +471,9 @@
         return lookup.arrived + goal - self.now
 
     def bearable(self, lookup: Lookup) -> float:
-        """By how much an answer may be foretold to be slowed: others, not seen, are taken meanwhile."""
-        return 1.0 + self.admit * (self.goal_left(lookup) / self.work(lookup) - 1.0)
+        """By how much an answer may be slowed: others come meanwhile, and large ones are the first to go."""
+        ratio = self.goal_left(lookup) / self.work(lookup)
+        return max(self.admit * ratio, min(CALM, ratio))
 
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
