--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -209,3 +209,83 @@
         for leg in lookup.legs[1:]:
             fleet.answer(leg)
     assert least <= further <= most
+
+
+def warm_up(fleet, number=40, note=Note.FILLED, first_byte=20.0):
+    for _ in range(number):
+        fleet.answer(fleet.look_up().legs[0], note=note, first_byte=first_byte)
+
+
+@pytest.mark.parametrize("wait, taken", [(100.0, True), (900.0, False)])
+def test_crowding_is_read_from_how_late_hits_come_and_not_from_legs_times_directors(wait, taken):
+    """With twenty directors, two legs out of one's own pushed the third lookup back at idle caches."""
+    fleet = Fleet(directors_here=20)
+    for leg in [fleet.look_up(after=20).legs[0] for _ in range(6)]:
+        fleet.call("answered", leg, Outcome.SATISFIED, wait, True, Note.HIT, 0.0, None)
+    for cache in fleet.caches:
+        cache.late.add(fleet.now, wait - 100.0)
+    assert any(fleet.look_up(after=0.0).ended for _ in range(4)) is not taken
+
+
+@pytest.mark.parametrize("here", [1, 30])
+def test_a_large_object_passes_at_caches_that_are_not_crowded(here):
+    """Its own sending time takes more than the part of the goal, so a quiet day pushed it back."""
+    lookup = Fleet(directors_here=here).look_up(size=9000.0)
+    assert lookup.legs and not lookup.ended
+
+
+@pytest.mark.parametrize("lookups, most", [(40, 3), (400, 22)])
+def test_trials_are_earned_by_own_lookups(lookups, most):
+    """At one in half a second each, hundreds of directors sent a dead parent nothing but trials."""
+    fleet = Fleet()
+    fleet.parents[0].shunned = True
+    tried = 0
+    for _ in range(lookups):
+        leg = fleet.look_up(after=600).legs[0]
+        tried += leg.source is fleet.parents[0]
+        fleet.answer(leg)
+    assert 0 < tried <= most
+
+
+def test_a_parent_that_fails_rare_fills_is_shunned_too():
+    """Outcomes four seconds apart were forgotten before two of them could count."""
+    fleet = Fleet()
+    for _ in range(12):
+        lookup = fleet.look_up(after=4000)
+        bad = lookup.legs[0].source is fleet.parents[0]
+        fleet.answer(lookup.legs[0], *((Outcome.TURNED_AWAY, Note.SOURCE_LOST) if bad else ()))
+        for leg in lookup.legs[1:]:
+            fleet.answer(leg)
+    assert fleet.parents[0].shunned
+
+
+@pytest.mark.parametrize("slow, kept", [((0,), False), ((0, 1), True)])
+def test_a_parent_is_passed_over_only_where_the_others_did_not_rise_alike(slow, kept):
+    """All slow alike sent directors on to parents that lacked the objects, and the origin was asked more."""
+    fleet = Fleet()
+    warm_up(fleet)
+    for at in slow:
+        for _ in range(60):
+            fleet.parents[at].recent.add(fleet.now, 700.0)
+    fleet.director.random.random, fleet.director.trials = lambda: 1.0, 0.0
+    orders = [fleet.director.by_hash(fleet.parents, key, 0) for key in range(5000, 5040)]
+    sources = [fleet.director.choose_outside(iter(order)) for order in orders if order[0] is fleet.parents[0]]
+    assert all(source is fleet.parents[0] for source in sources) is kept
+
+
+def test_a_source_that_refuses_is_not_shunned_for_it():
+    """The crowded parents that were left were shunned like the dead ones, and the dead ones named again."""
+    fleet = Fleet()
+    for _ in range(30):
+        lookup = fleet.look_up(after=30)
+        for leg in lookup.legs:
+            fleet.answer(leg, Outcome.TURNED_AWAY, Note.SOURCE_REFUSED)
+    assert not any(parent.shunned for parent in fleet.parents)
+
+
+def test_fills_by_way_of_the_origin_do_not_make_the_parent_slow():
+    fleet = Fleet()
+    warm_up(fleet, 40)
+    before = [fleet.director.delay(parent) for parent in fleet.parents]
+    warm_up(fleet, 40, Note.FILLED_BY_ORIGIN, 900.0)
+    assert [fleet.director.delay(parent) for parent in fleet.parents] == before
