--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -489,7 +489,7 @@
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source not in (None, node) and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
-                delay = first_byte if self.terms.notes_all else wait - work * self.crowd(node)
+                delay = max(first_byte, wait - work * max(self.crowd(node), self.link_slows()))
                 self.sign_of_life(source)
                 if note == Note.FILLED_BY_ORIGIN or source is self.origin:
                     self.behind.add(self.now, delay)
