--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -94,7 +94,6 @@
     may_pass_by: bool
     joins: bool
     siblings: bool
-    notes_all: bool  # notes tell of fills, too
     must_subscribe: bool
     reports: list[str]  # names of a load report's values
     asks_reports: bool  # they come to probes only
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -50,7 +50,7 @@
             may_cancel=allowed["cancel"], may_probe=allowed["mayProbe"], may_advise=allowed["retryAfter"],
             advice_most=allowed["maxRetryAfter"], may_pass_by=domain["mayPassBy"],
             joins=domain["collapses"], siblings=domain["peersFill"] != "none",
-            notes_all=domain["noteLevel"] == "all", must_subscribe=boot["registryMode"] == "subscribe",
+            must_subscribe=boot["registryMode"] == "subscribe",
             reports=[REPORT_WORDS.get(word, word) for word in report["columns"]],
             asks_reports=report["how"] == "probe",
             cold_cache=ColdRule(rules["coldFrom"], rules["cold"], rules["overloadFor"]),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -44,7 +44,6 @@
             may_pass_by=True,
             joins=True,
             siblings=True,
-            notes_all=True,
             must_subscribe=False,
             reports=["crowding"],
             asks_reports=False,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -123,7 +123,7 @@
 @pytest.mark.parametrize("broken, well", [("parents", "caches"), ("caches", "parents")])
 def test_the_member_that_all_bad_legs_share_is_shunned_and_the_others_are_not(broken, well):
     """A failing parent shows as errors at every cache; without split blame the caches were shunned for it."""
-    fleet = Fleet(notes_all=False)
+    fleet = Fleet()
     sick = getattr(fleet, broken)[0]
     for _ in range(150):
         lookup = fleet.look_up(after=20)
