--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -39,7 +39,7 @@
         self.socket: socket.socket | None = None
         self.closed = False
         self.open: dict[str, Leg | Probe] = {}
-        self.over: dict[str, float] = {}  # given up here: a late answer must not meet a further leg of the lookup
+        self.over: dict[str, float] = {}  # given up here; a late answer may still come
         self.waiting: deque[tuple[str, memoryview | bytes]] = deque()  # not written yet
         self.begun: set[str] = set()  # legs of which at least a byte was written
         self.catching_up = False
