--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -10,7 +10,7 @@
 from .log import Log
 from .net.service import Service
 
-DONE, BAD_CONFIGURATION = 0, 2
+DONE, NOT_STARTED, BAD_CONFIGURATION = 0, 1, 2
 
 
 def serve(options: argparse.Namespace) -> int:
@@ -18,7 +18,12 @@
     service = Service(start, Log(start.name))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: service.stop())
-    service.start()
+    try:
+        service.start()
+    except OSError as wrong:
+        print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {wrong.strerror}",
+              file=sys.stderr)
+        return NOT_STARTED
     service.wait()
     return DONE
 
--- a/mulleinrelay/configuration.py
+++ b/mulleinrelay/configuration.py
@@ -14,7 +14,7 @@
 REPEAT = {"safe": PURE, "keyed": RECEIPTED, "unsafe": EFFECTFUL}
 REPORT_WORDS = {"busy_reqs": "held", "inflight": "held", "cpu_share": "busy", "util": "busy",
                 "x1": "crowding"}
-DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1024
+DEFAULT_MEMORY_MB, DEFAULT_SOCKETS, SOCKETS_LEAST = 192, 1024, 64
 MISSING = object()
 
 
@@ -153,11 +153,14 @@
         number = int(seed, 16)
     except ValueError:
         raise ConfigurationError("seed: hex digits are wanted") from None
+    sockets = limits.whole("sockets", DEFAULT_SOCKETS)
+    if sockets < SOCKETS_LEAST:
+        raise ConfigurationError(f"limits.sockets: {SOCKETS_LEAST} or more is wanted")
     names = [case.text("name") for case in settings.sections("classes")]
     return Start(
         name=whole.text("name"), listen=whole.address("listen"), seed=number,
         memory_mb=limits.number("memory_mb", DEFAULT_MEMORY_MB),
-        sockets=limits.whole("sockets", DEFAULT_SOCKETS), bus=whole.address("bus"),
+        sockets=sockets, bus=whole.address("bus"),
         known=known.whole("offset"), events=known.items("batch"), terms=terms,
         use_cases=dict(zip(names, terms.use_cases, strict=True)),
         zones={name: place for place, name in enumerate(settings.items("azs"))},
--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -164,6 +164,12 @@
                 life.settle(Left())
                 self._play("end", lookup)
 
+    def drop(self, lookup: Lookup) -> None:
+        """Nobody will pick for this lookup any more; its legs are given up by whoever holds their links."""
+        self.forget(lookup)
+        with self.lock:
+            self.lives.pop(lookup, None)
+
     def wind_up(self) -> None:
         """The final answer at once for all that is open."""
         with self.lock:
--- a/mulleinrelay/net/bus.py
+++ b/mulleinrelay/net/bus.py
@@ -18,10 +18,14 @@
 PIECE = 65_536
 
 
+class GapError(Exception):
+    """Events that were passed over by the stream."""
+
+
 class Bus:
     def __init__(self, start: Start, facade: Facade, log: Log) -> None:
         self.start, self.facade, self.log = start, facade, log
-        self.last = 0
+        self.last, self.gap_at = 0, 0
         self.connection: socket.socket | None = None
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._run, name="bus", daemon=True)
@@ -29,7 +33,7 @@
     def begin(self) -> None:
         """Applies the events of the start; then follows the stream in a thread."""
         for held in self.start.events:
-            self.apply(None, held)
+            self.apply(None, held, follows=False)
         self.last = max(self.last, self.start.known)
         self.thread.start()
 
@@ -42,7 +46,7 @@
             except OSError:
                 pass
 
-    def apply(self, number: int | None, held: Any) -> None:
+    def apply(self, number: int | None, held: Any, follows: bool = True) -> None:
         """One event; one that is known already is passed over, one that can't be read is logged."""
         try:
             event = Section(held, "event")
@@ -50,6 +54,9 @@
             if number is not None:
                 if number <= self.last:
                     return
+                if follows and number > self.last + 1 and self.gap_at != self.last:
+                    self.gap_at = self.last
+                    raise GapError(f"event {number} after {self.last}")
                 self.last = number
             if "topology" in event.held:
                 self._topology(event.section("topology"))
@@ -57,6 +64,8 @@
                 self._purge(event.section("ban"))
             else:
                 self.log.event("bad event", number=number, why="neither topology nor ban")
+        except GapError:  # read again from the last, once
+            raise
         except Exception as wrong:
             self.log.event("bad event", number=number, why=f"{type(wrong).__name__}: {wrong}")
 
@@ -64,8 +73,8 @@
         zones, kinds = self.start.zones, self.start.kinds
         entries = [
             Listing(row.text("id"), row.address("addr"), row.choice("state", STATES),
-                    row.number("weight", 1.0), kinds.get(row.text("kind"), -1),
-                    zones.get(row.text("zone"), -1), row.whole("cell", 0),
+                    row.number("weight", 1.0), row.choice("kind", kinds),
+                    row.choice("zone", zones), row.whole("cell", 0),
                     float(row.number("started_ms", 0)))
             for row in topology.sections("servers")]
         self.facade.listed(entries, topology.flag("full", False))
@@ -100,9 +109,8 @@
                     try:
                         held = orjson.loads(event.data)
                     except ValueError as wrong:
+                        held = None
                         self.log.event("bad event", number=event.number, why=str(wrong))
-                        self.last = max(self.last, event.number or 0)
-                        continue
-                    self.apply(event.number, held)
+                    self.apply(event.number, held if held is not None else {})
         finally:
             connection.close()
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -191,10 +191,11 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             outcome = Outcome.RESET
             with self.lock:
+                if link.closed:
+                    return
                 link.socket, link.heard = connection, self.clock()
-                link.catching_up = not link.closed
-            if link.catching_up:
-                self._catch_up(link)
+                link.catching_up = True
+            self._catch_up(link)
             self._read(link, connection)
         except OSError as broken:
             why = errno.errorcode.get(broken.errno or 0, type(broken).__name__)
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -1,6 +1,7 @@
 """Clients: connections that bring lookups, and the crew that sees each lookup through to its one answer."""
 
 import queue
+import re
 import socket
 import struct
 import threading
@@ -14,7 +15,11 @@
 from .caches import Caches
 
 BACKLOG = 1024
-CREW_MOST = 640  # lookups seen through at one time
+CREW_PER_MB = 2  # lookups seen through at one time, for each MB: a body takes a quarter of one at most
+TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}", re.ASCII)  # what may stand in a leg's fields unchanged
+HEX = re.compile(r"[0-9a-fA-F]{1,16}", re.ASCII)
+NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 TIMEVAL = struct.Struct("ll")
 
@@ -71,7 +76,7 @@
 class Front:
     def __init__(self, start: Start, facade: Facade, caches: Caches, log: Log, clients_most: int) -> None:
         self.start, self.facade, self.caches, self.log = start, facade, caches, log
-        self.clients_most = clients_most
+        self.clients_most, self.crew_most = clients_most, int(CREW_PER_MB * start.memory_mb)
         self.well = False
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
@@ -112,18 +117,27 @@
                 self.log.fault("accept", broken)
                 threading.Event().wait(0.05)
                 continue
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, TIMEVAL.pack(WRITE_WAIT, 0))
-            client = Client(connection)
-            with self.lock:
-                full = len(self.clients) >= self.clients_most
-                if not full:
-                    self.clients[client] = None
-            if full:
+            try:
+                self._welcome(connection)
+            except Exception as broken:  # no thread to be had, say: this client is lost, others are not
+                self.log.fault("accept", broken)
                 connection.close()
-                self.log.event("client turned away", clients=self.clients_most)
-            else:
-                threading.Thread(target=self._read, args=(client,), name="client", daemon=True).start()
+
+    def _welcome(self, connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, TIMEVAL.pack(WRITE_WAIT, 0))
+        client = Client(connection)
+        with self.lock:
+            idle = None
+            if len(self.clients) >= self.clients_most:
+                idle = next((other for other in self.clients if not other.open and not other.ended), None)
+                if idle is None:
+                    connection.close()
+                    return self.log.event("client turned away", clients=len(self.clients))
+            self.clients[client] = None
+        if idle is not None:  # the oldest with nothing open makes room
+            idle.end()
+        threading.Thread(target=self._read, args=(client,), name="client", daemon=True).start()
 
     def _read(self, client: Client) -> None:
         frames = thrift.Frames()
@@ -157,7 +171,9 @@
             elif call.method == "forget":
                 number = thrift.read_forget(call.rest)
                 with client.lock:
-                    lookup = client.open.pop(number, None)
+                    lookup = client.open.get(number)
+                    if lookup is not None:
+                        del client.open[number]
                 if lookup is not None:
                     self.facade.forget(lookup)
             elif call.method == "isWell":
@@ -175,40 +191,62 @@
 
     def _serve(self, client: Client, call: thrift.Call) -> None:
         fields, body = thrift.read_serve(call.rest)
-        wanted = self._want(fields, body)
+        if call.number in client.open:  # only this thread adds to it
+            raise thrift.ThriftError(f"the number {call.number} is open already")
+        hire = self._reserve()
+        if hire is None:  # no leg has gone
+            return client.write(thrift.pushed_back(call.number, 0.0))
+        try:
+            wanted = self._want(fields, body)
+        except BaseException:
+            self._release(hire)
+            raise
         with client.lock:
-            if call.number in client.open:
-                self.facade.forget(wanted.lookup)
-                raise thrift.ThriftError(f"the number {call.number} is open already")
             client.open[call.number] = wanted.lookup
-        with self.lock:
-            hire = self.idle <= 0 and self.crew < CREW_MOST
-            if hire:
-                self.crew += 1
-            else:
-                self.idle -= 1
         self.work.put((client, call.number, wanted))
         if hire:
             threading.Thread(target=self._crew, name="crew", daemon=True).start()
 
+    def _reserve(self) -> bool | None:
+        """A place in the crew: False one that is idle, True one to be hired, None where all are busy."""
+        with self.lock:
+            if self.idle > 0:
+                self.idle -= 1
+                return False
+            if self.crew >= self.crew_most:
+                return None
+            self.crew += 1
+            return True
+
+    def _release(self, hired: bool) -> None:
+        with self.lock:
+            if hired:
+                self.crew -= 1
+            else:
+                self.idle += 1
+
     def _want(self, fields: dict[str, str], body: memoryview) -> Wanted:
-        try:
-            use_case = self.start.use_cases[fields["route"]]
-            trace, entity, nth = fields["trace"], fields["entity"], fields.get("nth", "0")
-            key, left = int(entity, 16), float(fields["patience"])
-            part, group, size = int(nth), int(fields.get("batch", "0")), float(fields.get("size", "0"))
-            onward = {"lane": fields["route"], "name": entity, "piece": nth}
-            if use_case.repeat == RECEIPTED or "nonce" in fields:
-                onward["dedupe"] = fields["nonce"]
-            if "got" in fields:
-                onward["mine"] = fields["got"]
-        except KeyError as missing:
-            name = missing.args[0]
-            raise BadCallError(f"unknown use case {name[:64]!r}" if name == fields.get("route")
-                          else f"the field {name} is missing") from None
-        except ValueError as wrong:
-            raise BadCallError(f"a field cannot be read: {wrong}") from None
-        lookup = self.facade.take(use_case, key, part, group, size, left, "redo" in fields)
+        def read(name: str, form: re.Pattern[str], default: str | None = None) -> str:
+            value = fields.get(name, default)
+            if value is None:
+                raise BadCallError(f"the field {name} is missing")
+            if not form.fullmatch(value):
+                raise BadCallError(f"the field {name} cannot be read")
+            return value
+
+        use_case = self.start.use_cases.get(read("route", TOKEN))
+        if use_case is None:
+            raise BadCallError("the field route names no use case")
+        trace, entity, nth = read("trace", TOKEN), read("entity", HEX), read("nth", NUMBER, "0")
+        left, group = float(read("patience", DECIMAL)), int(read("batch", NUMBER, "0"))
+        size = float(read("size", DECIMAL, "0"))
+        onward = {"lane": fields["route"], "name": entity, "piece": nth}
+        if use_case.repeat == RECEIPTED or "nonce" in fields:
+            onward["dedupe"] = read("nonce", TOKEN)
+        if "got" in fields:
+            onward["mine"] = read("got", TOKEN)
+        lookup = self.facade.take(use_case, int(entity, 16), int(nth), group, size,
+                                  min(left, use_case.client_timeout), "redo" in fields)
         return Wanted(lookup, trace, onward, body)
 
     def _crew(self) -> None:
@@ -218,7 +256,7 @@
                 self._see_through(client, number, wanted)
             except Exception as broken:
                 self.log.fault("crew", broken)
-                self.facade.forget(wanted.lookup)
+                self.facade.drop(wanted.lookup)
                 self._answer(client, number, thrift.broken_off(number))
             client = wanted = None
             with self.lock:
@@ -245,6 +283,12 @@
 
     def _answer(self, client: Client, number: int, pieces: list[memoryview | bytes]) -> None:
         with client.lock:
-            owed = client.open.pop(number, None) is not None
+            owed = client.open.get(number) is not None
+            if owed:
+                client.open[number] = None  # being answered: nobody else may
         if owed:
-            client.write(pieces)
+            try:
+                client.write(pieces)
+            finally:
+                with client.lock:
+                    client.open.pop(number, None)
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -12,7 +12,7 @@
 from .caches import Caches
 from .front import Front
 
-STACK = 256 * 1024  # bytes; of these only what is touched counts
+STACK = 128 * 1024  # bytes; of these only what is touched counts
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY = 1000.0
 COMING = 1.0  # s after the call to stop in which clients still come
@@ -61,12 +61,10 @@
         begun = time.monotonic()
         self.front.well = False
         self._enter(Phase.DRAINING)
-        wound_up = False
         while (since := time.monotonic() - begun) < WRITTEN:
             if since >= COMING and not self.facade.open_lookups() and not self.front.owes():
                 break
-            if since >= LAST_ANSWERS and not wound_up:
-                wound_up = True
+            if since >= LAST_ANSWERS:
                 self.facade.wind_up()
             time.sleep(0.02)
         self.front.stop()
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -23,8 +23,8 @@
 class Frames:
     """Cuts what is received into frames."""
 
-    def __init__(self, size: int = 4096) -> None:
-        self.intake = Intake(size)
+    def __init__(self, size: int = 4096, most: int = FRAME_MOST) -> None:
+        self.intake, self.most = Intake(size), most
         self.whole = 0
 
     def room(self) -> memoryview:
@@ -37,7 +37,7 @@
         self.whole = 0
         while len(intake) >= 4:
             size = INT.unpack_from(intake.view, intake.start)[0]
-            if not 0 < size <= FRAME_MOST:
+            if not 0 < size <= self.most:
                 raise ThriftError(f"a frame of {size} bytes")
             if len(intake) < 4 + size:
                 self.whole = 4 + size
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,17 @@
-"""A writer that records and a director with a small fleet, for the tables of cases."""
+"""Small stand-ins for the tables of cases: a writer that records, a director with a small fleet, a facade
+with a clock of its own, and on loopback a node, an event bus and a client."""
 
-from mulleinrelay.interface import PURE, ColdRule, Lookup, Note, Outcome, State, Terms, UseCase
+import json
+import socket
+import struct
+import threading
+import time
+
+from mulleinrelay.configuration import Section, decode, read_terms
+from mulleinrelay.facade import Facade, GiveUp, Listing, Order
+from mulleinrelay.interface import PURE, ColdRule, Leg, Lookup, Note, Outcome, State, Terms, UseCase
+from mulleinrelay.net import resp, thrift
+from mulleinrelay.net.service import Service
 from mulleinrelay.policy import Director, Member
 
 CACHE, PARENT, ORIGIN = 0, 2, 3
@@ -83,3 +94,284 @@
     def answer(self, leg, outcome=Outcome.SATISFIED, note=Note.HIT, first_byte=0.0, after=0.0, load=None):
         closed = outcome == Outcome.SATISFIED
         self.call("answered", leg, outcome, 100.0, closed, note, first_byte, load, after=after)
+
+
+def settings(**changes):
+    """Start settings as an instance or a director is given them; a change replaces keys of one part."""
+    case = {"idempotency": "safe", "slo": 500.0, "deadline": 6000.0, "memorySpan": 5000.0, "group": "all"}
+    whole = {
+        "allowed": {"cancel": True, "connIdle": 30000.0, "connectTimeout": 400.0, "maxAttempts": 6,
+                    "maxRetryAfter": 1000.0, "maxStreams": 2, "mayDuplicate": True, "mayProbe": True,
+                    "retryAfter": True},
+        "azs": ["hub", "edge"], "shapes": ["box", "parent", "origin"], "balancers": 3, "myZone": 1,
+        "registryMode": "automatic", "weights": "nominal",
+        "classes": [case | {"name": "pages"}, case | {"name": "order", "idempotency": "keyed"},
+                    case | {"name": "pay", "idempotency": "unsafe"}],
+        "domain": {"collapses": True, "countByZone": [0, 1], "freshFor": [0.0, 0.0, 0.0], "mayPassBy": True,
+                   "midKind": 1, "neverKept": [False, True, True], "oneFlowKbPerS": 8000.0,
+                   "parentStartsAt": 0.1, "parentWarmsIn": 20000.0, "peersFill": "location",
+                   "purgeTakes": 6000.0, "storeKind": 2},
+        "report": {"how": "none", "columns": []},
+        "rules": {"coldFrom": 0.2, "cold": 17000.0, "overloadFor": 1500.0},
+    }
+    for part, keys in changes.items():
+        whole[part] = whole[part] | keys
+    return whole
+
+
+SPOTS = [("s-01", "edge", "box"), ("s-02", "edge", "box"), ("s-03", "edge", "box"), ("s-11", "hub", "parent"),
+         ("s-12", "hub", "parent"), ("s-21", "hub", "origin")]
+
+
+def configuration(addresses=(), bus="127.0.0.1:1", listen="127.0.0.1:0", **changes):
+    rows = [{"id": name, "zone": zone, "kind": kind, "cell": 0, "state": "SERVING", "weight": 4,
+             "started_ms": 0, "addr": addresses[place] if addresses else f"127.0.0.1:{place + 1}"}
+            for place, (name, zone, kind) in enumerate(SPOTS)]
+    event = {"offset": 1, "topology": {"version": 1, "full": True, "servers": rows}}
+    return {"name": "n3", "listen": listen, "seed": "8c1f", "bus": bus,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"offset": 1, "batch": [event]}, "settings": settings(**changes)}
+
+
+class Sink:
+    """Keeps the names of what is logged, and the figures."""
+
+    def __init__(self):
+        self.events, self.figures = [], []
+
+    def event(self, what, **figures):
+        self.events.append(what)
+        self.figures.append(figures)
+
+    def fault(self, where, broken):
+        self.event("fault", where=where, kind=type(broken).__name__)
+
+
+class Stage:
+    """A facade before three caches, two parents and an origin, with a clock that stands until moved."""
+
+    def __init__(self, **changes):
+        self.now = 100_000.0
+        self.terms = read_terms(Section(settings(**changes), ""))
+        self.sink = Sink()
+        self.facade = Facade(lambda: self.now, 7, self.terms, self.sink)
+        self.entries = [
+            Listing(name, ("127.0.0.1", place + 1), State.READY, 4.0, ["box", "parent", "origin"].index(kind),
+                    ["hub", "edge"].index(zone), 0, 0.0) for place, (name, zone, kind) in enumerate(SPOTS)]
+        self.facade.listed(self.entries, True)
+
+    def now_is_real(self):
+        self.facade.clock = lambda: time.monotonic() * 1000.0
+        self.now = self.facade.clock()
+
+    def take(self, use_case="pages", left=6000.0):
+        case = self.terms.use_cases[["pages", "order", "pay"].index(use_case)]
+        return self.facade.take(case, 0xABC, 0, 1, 100.0, left, False)
+
+    def again(self, lookup):
+        """The same lookup with its first leg out, for another host of the module."""
+        first = lookup.legs[0]
+        twin = Lookup(1, lookup.use_case, lookup.key, 0, 1, 100.0, 0.0, 6000.0)
+        twin.legs.append(Leg(twin, 0, first.node, first.source, 0.0, 6000.0))
+        return twin
+
+    def until_verdict(self, lookup):
+        while isinstance(step := self.facade.pick(lookup), Order | GiveUp):
+            pass
+        return step
+
+    def pass_time(self, span):
+        """Runs the timers of a span, each at its time."""
+        end = self.now + span
+        while (due := self.facade.tick()[0]) <= end:
+            self.now = max(self.now, due)
+        self.now = end
+
+
+def call_frame(method, number, arguments, kind=thrift.CALL):
+    name = method.encode()
+    held = struct.pack(">Ii", thrift.VERSION | kind, len(name)) + name + struct.pack(">i", number) + arguments
+    return struct.pack(">i", len(held)) + held
+
+
+def serve_frame(number, fields, body=b""):
+    pairs = b"".join(struct.pack(">i", len(text)) + text.encode() for pair in fields.items() for text in pair)
+    return call_frame("serve", number, b"\x0d\x00\x01\x0b\x0b" + struct.pack(">i", len(fields)) + pairs
+                      + b"\x0b\x00\x02" + struct.pack(">i", len(body)) + body + b"\x00")
+
+
+class Listener:
+    """A server on a free port of loopback with a thread for each connection."""
+
+    def __init__(self):
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self._guarded, args=(connection,), daemon=True).start()
+
+    def _guarded(self, connection):
+        try:
+            self.talk(connection)
+        except OSError:
+            pass
+
+    def close(self):
+        for each in (self.socket, *self.connections):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            each.close()
+
+
+class StandNode(Listener):
+    """A cache, parent or the origin: answers each PULL as its `plan` says, and keeps what it was told."""
+
+    def __init__(self, plan):
+        self.plan, self.heard = plan, []
+        super().__init__()
+
+    def talk(self, connection):
+        arrays = resp.Arrays()
+        while (length := connection.recv_into(arrays.room())) > 0:
+            for items in arrays.filled(length):
+                word, about, *rest = [bytes(item) for item in items]
+                fields = dict(pair.split("=", 1) for pair in rest[0].decode().split(",")) if rest else {}
+                self.heard.append((word.decode(), about.decode(), fields, rest[1] if rest else b""))
+                if word == b"PULL":
+                    self.answer(connection, about, fields)
+
+    def answer(self, connection, about, fields):
+        plan = self.plan(fields) if callable(self.plan) else self.plan
+        if plan == "reset":
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+        elif plan == "nonsense":
+            connection.sendall(b"+what\r\n")
+        elif plan is not None:
+            connection.sendall(resp.command(about, *plan))
+
+
+class StandBus(Listener):
+    """An event bus: each connection gets the next of the scripts, pieces of bytes; it notes from where."""
+
+    def __init__(self, *scripts, after=b""):
+        self.scripts, self.after, self.asked = list(scripts), after, []
+        super().__init__()
+
+    def talk(self, connection):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += connection.recv(4096)
+        self.asked.append(int(head.lower().partition(b"last-event-id:")[2].split()[0]))
+        script = self.scripts.pop(0) if self.scripts else [b"HTTP/1.1 200 OK\r\n\r\n", None]
+        for piece in script:
+            if piece is None:
+                connection.recv(1)  # silent until the other side leaves
+            else:
+                connection.sendall(piece)
+        connection.close()
+
+
+class Caller:
+    """A client on one connection."""
+
+    def __init__(self, address):
+        self.socket = socket.create_connection(address, timeout=10.0)
+        self.frames, self.ready, self.count = thrift.Frames(most=300_000), [], 0
+
+    def send(self, use_case="pages", entity="00000000000000ab", body=b"", **changes):
+        self.count += 1
+        fields = {"route": use_case, "trace": f"{self.count:016x}", "patience": "3000", "entity": entity,
+                  "nth": "0", "batch": "17", "size": "100.0", "nonce": "5c0f"} | changes
+        self.socket.sendall(serve_frame(self.count, {k: v for k, v in fields.items() if v is not None}, body))
+        return self.count
+
+    def frame(self):
+        while not self.ready:
+            room = memoryview(bytearray(65536))
+            length = self.socket.recv_into(room)
+            if not length:
+                raise EOFError
+            while length:
+                spot = self.frames.room()
+                part = min(len(spot), length)
+                spot[:part] = room[:part]
+                self.ready += self.frames.filled(part)
+                room, length = room[part:], length - part
+        return self.ready.pop(0)
+
+    def answer(self):
+        """(number, what, fields, body); `what` is 0 for satisfied, 1 pushed back, 2 broken off, or the text
+        of an application exception."""
+        reader = thrift.Reader(self.frame())
+        kind = struct.unpack(">I", reader.bytes(4))[0] & 0xFF
+        reader.binary()
+        number = reader.int()
+        if kind == thrift.EXCEPTION:
+            reader.bytes(3)
+            return number, reader.text(), {}, b""
+        reader.byte()
+        what, fields, body = reader.short(), {}, b""
+        while (held := reader.byte()) != 0:
+            reader.short()
+            if held == thrift.STRING:
+                body = bytes(reader.binary())
+            elif held == thrift.MAP:
+                fields = reader.strings()
+            else:
+                reader.skip(held)
+        return number, what, fields, body
+
+    def close(self):
+        self.socket.close()
+
+
+class Running:
+    """A whole director on loopback before stand-ins, ended with the block."""
+
+    def __init__(self, plan=(b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes"), bus=None, **changes):
+        self.nodes = [StandNode(plan) for _ in SPOTS]
+        self.bus = bus or StandBus()
+        whole = configuration([node.address for node in self.nodes], self.bus.address, **changes)
+        self.sink = Sink()
+        self.service = Service(decode(json.dumps(whole)), self.sink)
+
+    def __enter__(self):
+        self.service.start()
+        self.address = self.service.front.listener.getsockname()
+        self.ender = threading.Thread(target=self.service.wait, daemon=True)
+        self.ender.start()
+        self.callers = []
+        return self
+
+    def caller(self):
+        self.callers.append(Caller(self.address))
+        return self.callers[-1]
+
+    def heard(self, word="PULL"):
+        return [entry for node in self.nodes for entry in node.heard if entry[0] == word]
+
+    def __exit__(self, *_):
+        self.service.stop()
+        for caller in self.callers:
+            caller.close()
+        self.ender.join(10.0)
+        for each in (*self.nodes, self.bus):
+            each.close()
+
+
+def wait_for(condition, seconds=5.0):
+    end = time.monotonic() + seconds
+    while not condition() and time.monotonic() < end:
+        time.sleep(0.01)
+    return condition()
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,225 @@
+import struct
+
+import pytest
+from helpers import call_frame, serve_frame
+
+from mulleinrelay.interface import Note, Outcome
+from mulleinrelay.net import resp, sse, thrift
+from mulleinrelay.net.intake import Intake
+from mulleinrelay.wirehost import NOTES, OUTCOMES
+
+STEPS = [1, 2, 3, 5, 7, 64, 10**6]
+
+
+def feed(parser, data, step):
+    """Receives the data in pieces of at most `step` bytes, as a link or a client's thread does."""
+    found, data = [], memoryview(data)
+    while len(data):
+        room = parser.room()
+        length = min(step, len(room), len(data))
+        room[:length] = data[:length]
+        found += parser.filled(length)
+        data = data[length:]
+    return found
+
+
+# Received bytes
+
+
+def test_a_view_handed_out_is_never_written_again():
+    # Guards against an answer's bytes changing under a client that is still being written to.
+    intake = Intake(8)
+    intake.room()[:6] = b"abcdef"
+    intake.end += 6
+    taken = intake.take(4)
+    for byte in b"ghijklmnop":
+        intake.room()[:1] = bytes((byte,))
+        intake.end += 1
+    assert bytes(taken) == b"abcd" and bytes(intake.unread()) == b"efghijklmnop"
+
+
+# Thrift
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_frames_are_the_same_in_any_split(step):
+    calls = [serve_frame(number, {"route": "pages", "entity": f"{number:016x}"}, b"x" * size)
+             for number, size in ((1, 0), (2, 9000), (3, 1))]
+    found = [thrift.read_call(frame) for frame in feed(thrift.Frames(64), b"".join(calls), step)]
+    assert [(call.method, call.kind, call.number) for call in found] == [("serve", 1, n) for n in (1, 2, 3)]
+    read = [thrift.read_serve(call.rest) for call in found]
+    assert [fields["entity"] for fields, _ in read] == [f"{n:016x}" for n in (1, 2, 3)]
+    assert [len(body) for _, body in read] == [0, 9000, 1]
+
+
+@pytest.mark.parametrize("size", [-1, 0, thrift.FRAME_MOST + 1, 2**31 - 1])
+def test_a_frame_of_a_wrong_length_is_turned_down_at_once(size):
+    with pytest.raises(thrift.ThriftError):
+        feed(thrift.Frames(), struct.pack(">i", size), 4)
+
+
+MAP = b"\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x01a\x00\x00\x00\x01b"
+UNKNOWN = [
+    b"\x02\x00\x09\x01",  # bool
+    b"\x03\x00\x09\x01",  # byte
+    b"\x04\x00\x09" + bytes(8),  # double
+    b"\x06\x00\x09" + bytes(2),  # i16
+    b"\x0a\x00\x09" + bytes(8),  # i64
+    b"\x0b\x00\x09\x00\x00\x00\x02hi",  # string
+    b"\x0c\x00\x09\x08\x00\x01" + bytes(4) + b"\x00",  # struct
+    b"\x0d\x00\x09\x0b\x08\x00\x00\x00\x01\x00\x00\x00\x01k" + bytes(4),  # map
+    b"\x0f\x00\x09\x03\x00\x00\x00\x03abc",  # list
+    b"\x0e\x00\x09\x08\x00\x00\x00\x01" + bytes(4),  # set
+]
+
+
+@pytest.mark.parametrize("unknown", UNKNOWN)
+def test_unknown_fields_are_skipped(unknown):
+    fields, body = thrift.read_serve(thrift.Reader(memoryview(
+        unknown + MAP + unknown + b"\x00")))
+    assert fields == {"a": "b"} and len(body) == 0
+
+
+@pytest.mark.parametrize(
+    "held, told",
+    [
+        (b"", "wanted at 0"),
+        (b"\x00", "no fields"),
+        (MAP, "wanted at"),
+        (MAP[:-3] + b"\x7f\xff\xff\xffb\x00", "wanted at"),
+        (MAP[:5] + b"\x7f\xff\xff\xff", "a collection of"),
+        (MAP[:5] + b"\xff\xff\xff\xff", "a collection of -1"),
+        (MAP[:4] + b"\x08\x00\x00\x00\x01" + bytes(8), "not of strings"),
+        (MAP[:-1] + b"\xff\x00", "not UTF-8"),
+        (MAP + b"\x0b\x00\x02" + struct.pack(">i", -5), "-5 bytes wanted"),
+        (MAP + b"\x0b\x00\x02" + struct.pack(">i", 48001) + bytes(48001) + b"\0", "a body of 48001"),
+        (MAP + b"\x63\x00\x09\x00", "unknown type 99"),
+        (MAP + b"\x0c\x00\x09" * 20, "nested too deep"),
+    ],
+)
+def test_arguments_that_cannot_be_read(held, told):
+    with pytest.raises(thrift.ThriftError, match=told):
+        thrift.read_serve(thrift.Reader(memoryview(held)))
+
+
+@pytest.mark.parametrize("head", [bytes(4), b"\x80\x02\x00\x01", b"\x80\x01\x00\x02", b"\x80"])
+def test_a_head_that_cannot_be_read(head):
+    with pytest.raises(thrift.ThriftError):
+        thrift.read_call(memoryview(head + struct.pack(">i", 5) + b"serve" + bytes(4)))
+
+
+def test_a_oneway_call_tells_its_number():
+    (frame,) = feed(thrift.Frames(), call_frame("forget", 9, b"\x08\x00\x01\x00\x00\x00\x07\x00", 4), 100)
+    call = thrift.read_call(frame)
+    assert (call.method, call.kind, thrift.read_forget(call.rest)) == ("forget", thrift.ONEWAY, 7)
+
+
+@pytest.mark.parametrize(
+    "pieces, wanted",
+    [
+        (thrift.answer("isWell", 2, b"", {}, True),
+         "80010002 00000006 697357656c6c 00000002 0c0000 0b0001 00000000 0d0002 0b0b 00000000 020003 01 0000"),
+        (thrift.pushed_back(3, 99.6),
+         "80010002 00000005 7365727665 00000003 0c0001 0d0001 0b0b 00000001 00000005 7061757365"
+         " 00000003 313030 00 00"),
+        (thrift.broken_off(4),
+         "80010002 00000005 7365727665 00000004 0c0002 0d0001 0b0b 00000000 00 00"),
+        (thrift.application_exception("x", 5, 1, "no"),
+         "80010003 00000001 78 00000005 0b0001 00000002 6e6f 080002 00000001 00"),
+    ],
+)
+def test_answers_as_on_the_wire(pieces, wanted):
+    length, message = struct.unpack(">i", b"".join(pieces)[:4])[0], b"".join(pieces)[4:]
+    assert length == len(message) and message.hex() == wanted.replace(" ", "")
+
+
+# RESP
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_arrays_are_the_same_in_any_split(step):
+    stream = (resp.command(b"a1", b"DONE", b"why=HIT", b"\r\n*2\r\n" + bytes(9000))
+              + resp.command(b"a2", b"LACK", b"-") + resp.command(b"a3", b"KEEP", b"-", b"")
+              + b"*4\r\n$2\r\na4\r\n$4\r\nPAST\r\n$1\r\n-\r\n$-1\r\n")
+    found = [resp.read_told(items, {}) for items in feed(resp.Arrays(64), stream, step)]
+    assert [(told.about, told.outcome, len(told.body), told.kept) for told in found] == [
+        ("a1", Outcome.SATISFIED, 9006, False), ("a2", Outcome.MISS, 0, False),
+        ("a3", Outcome.SATISFIED, 0, True), ("a4", Outcome.MOOT, 0, False)]
+
+
+def test_a_body_is_a_view_of_what_was_received():
+    # Guards against copies of bodies: they pass through in the buffer that they came in.
+    arrays = resp.Arrays(4096)
+    (items,) = feed(arrays, resp.command(b"1", b"DONE", b"-", b"z" * 2000), 4096)
+    assert resp.read_told(items, {}).body.obj is arrays.intake.view.obj
+
+
+@pytest.mark.parametrize(
+    "stream",
+    [b"+OK\r\n", b"*0\r\n", b"*-1\r\n", b"*9\r\n", b"*x\r\n", b"*" + b"1" * 40, b"*1\r\n:5\r\n",
+     b"*1\r\n$-2\r\n", b"*1\r\n$262145\r\n", b"*1\r\n$2\r\nabXX", b"*1\r\n$1_0\r\n"],
+)
+def test_arrays_that_cannot_be_read(stream):
+    with pytest.raises(resp.RespError):
+        feed(resp.Arrays(), stream, 5)
+
+
+@pytest.mark.parametrize(
+    "items",
+    [(b"a1", b"DONE"), (b"a1", b"NOPE", b"-", b""), (b"\xff", b"DONE", b"-", b""),
+     (b"a1", b"DONE", b"delay=x", b""), (b"a1", b"FIT", b"rep=x1:", b""), (b"a1",) * 5],
+)
+def test_answers_that_cannot_be_read(items):
+    with pytest.raises(resp.RespError):
+        resp.read_told([memoryview(item) for item in items], {})
+
+
+@pytest.mark.parametrize("word, status", [
+    (b"DONE", 0), (b"KEEP", 0), (b"LACK", 2), (b"WAIT", 11), (b"BROKE", 5), (b"PAST", 114)])
+def test_words_mean_what_the_simulators_codes_mean(word, status):
+    assert resp.ENDS[word] == OUTCOMES[status]
+
+
+def test_notes_stand_in_the_simulators_order():
+    assert list(resp.NOTES.values()) == [NOTES[number] for number in range(1, 11)] == list(Note)[1:]
+
+
+def test_fields_of_an_answer():
+    told = resp.read_told([memoryview(item) for item in (
+        b"t1", b"BROKE", b"why=UP_DOWN,delay=12.5,rep=inflight:7;x1:0.61,new=1", b"")], {"x1": "crowding"})
+    assert (told.note, told.waited, told.load) == (Note.SOURCE_LOST, 12.5, {"inflight": 7, "crowding": .61})
+
+
+def test_commands_as_on_the_wire():
+    assert b"".join(resp.pull("9b", {"lane": "pages", "piece": "0"}, b"xy")) == (
+        b"*4\r\n$4\r\nPULL\r\n$2\r\n9b\r\n$18\r\nlane=pages,piece=0\r\n$2\r\nxy\r\n")
+    assert b"".join(resp.pull("9b", {}, b"")).endswith(b"$1\r\n-\r\n$0\r\n\r\n")
+    assert resp.kill("9b") == b"*2\r\n$4\r\nKILL\r\n$2\r\n9b\r\n"
+    assert resp.probe("p", True) == b"*2\r\n$5\r\nMETER\r\n$1\r\np\r\n"
+
+
+# Server-sent events
+
+EVENTS = b': hello\n\nid: 41\ndata: {"a":\ndata: 1}\n\n:\n\nid:42\r\ndata:x\r\n\r\ndata: half'
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("chunk", [0, 1, 4, 1000])
+def test_events_are_the_same_in_any_split(step, chunk):
+    body, head = EVENTS, HEAD + b"\r\n"
+    if chunk:
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        parts = [EVENTS[at:at + chunk] for at in range(0, len(EVENTS), chunk)]
+        body = b"".join(b"%x;q\r\n%s\r\n" % (len(part), part) for part in parts)
+    stream, found = sse.Stream(), []
+    for at in range(0, len(head + body), step):
+        found += stream.feed((head + body)[at:at + step])
+    assert [(event.number, event.data) for event in found] == [(41, '{"a":\n1}'), (42, "x")]
+
+
+@pytest.mark.parametrize("answer", [b"HTTP/1.1 404 Not Found\r\n\r\n", b"hello\r\n\r\n", b"x" * 20000,
+                                    HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"])
+def test_an_answer_that_is_not_the_stream(answer):
+    with pytest.raises(sse.SseError):
+        sse.Stream().feed(answer)
--- /dev/null
+++ b/tests/test_facade.py
@@ -0,0 +1,222 @@
+import json
+import threading
+
+import pytest
+from helpers import Sink, Stage, settings
+
+from mulleinrelay import wire
+from mulleinrelay.facade import BrokenOff, GiveUp, Left, Order, PushedBack, Satisfied
+from mulleinrelay.interface import Note, Outcome
+from mulleinrelay.net import resp
+from mulleinrelay.wirehost import Instance
+
+
+def test_a_lookup_is_satisfied_once_and_later_word_is_dropped():
+    stage = Stage()
+    lookup = stage.take()
+    order = stage.facade.pick(lookup)
+    assert isinstance(order, Order) and order.place.name.startswith("s-") and not order.leg.outcome
+    stage.facade.report(order.leg, Outcome.SATISFIED, Note.HIT, answer="bytes")
+    stage.facade.report(order.leg, Outcome.ERROR)
+    stage.facade.forget(lookup)
+    verdict = stage.facade.pick(lookup)
+    assert isinstance(verdict, Satisfied) and verdict.answer == "bytes"
+    assert order.leg.outcome == Outcome.SATISFIED and not stage.facade.open_lookups()
+
+
+@pytest.mark.parametrize(
+    "first, second, verdict",
+    [
+        ("forget", "report", Left),
+        ("report", "forget", Satisfied),
+        ("forget", "wind_up", Left),
+        ("wind_up", "forget", PushedBack),
+        ("wind_up", "report", PushedBack),
+        ("report", "wind_up", Satisfied),
+        ("time", "report", PushedBack),
+        ("report", "time", Satisfied),
+    ],
+)
+def test_whoever_comes_second_finds_the_lookup_ended(first, second, verdict):
+    stage = Stage()
+    lookup = stage.take()
+    leg = stage.facade.pick(lookup).leg
+    deeds = {"forget": lambda: stage.facade.forget(lookup), "wind_up": stage.facade.wind_up,
+             "report": lambda: stage.facade.report(leg, Outcome.SATISFIED, Note.HIT),
+             "time": lambda: stage.pass_time(7000.0)}
+    deeds[first]()
+    deeds[second]()
+    steps = [stage.facade.pick(lookup)]
+    while isinstance(steps[-1], GiveUp):
+        steps.append(stage.facade.pick(lookup))
+    assert isinstance(steps[-1], verdict) and not stage.facade.open_lookups()
+    assert [step.leg for step in steps[:-1]] == ([] if first == "report" else lookup.legs)
+
+
+@pytest.mark.parametrize(
+    "use_case, sent, outcome, verdict",
+    [
+        ("pages", True, None, PushedBack),
+        ("order", True, None, PushedBack),
+        ("pay", True, None, BrokenOff),
+        ("pay", False, None, PushedBack),
+        ("pay", True, Outcome.RESET, BrokenOff),
+    ],
+)
+def test_the_last_answers_of_a_drain_are_true(use_case, sent, outcome, verdict):
+    # Guards against a drain that calls harmless what may have run.
+    stage = Stage()
+    lookup = stage.take(use_case)
+    if sent:
+        leg = stage.facade.pick(lookup).leg
+        if outcome is not None:
+            stage.facade.report(leg, outcome)
+    else:
+        lookup.legs[0].outcome = Outcome.MOOT
+    stage.facade.wind_up()
+    assert isinstance(stage.until_verdict(lookup), verdict)
+
+
+def test_a_leg_that_was_called_off_before_it_was_picked_is_never_sent():
+    stage = Stage()
+    lookup = stage.take()
+    stage.facade.forget(lookup)
+    assert isinstance(stage.facade.pick(lookup), Left)
+    assert lookup.legs[0].outcome == Outcome.CANCELLED
+
+
+def test_a_leg_over_its_time_is_given_up_and_reported():
+    stage = Stage(allowed={"cancel": False})  # the module calls nothing off: the caller keeps the time
+    lookup = stage.take()
+    leg = stage.facade.pick(lookup).leg
+    stage.pass_time(6001.0)
+    assert leg.outcome == Outcome.TIMEOUT
+    assert isinstance(stage.until_verdict(lookup), PushedBack)
+
+
+def test_pick_blocks_until_there_is_something_to_do():
+    stage, found = Stage(), []
+    lookup = stage.take()
+    leg = stage.facade.pick(lookup).leg
+    waiter = threading.Thread(target=lambda: found.append(stage.facade.pick(lookup)))
+    waiter.start()
+    waiter.join(0.05)
+    assert waiter.is_alive()
+    stage.facade.report(leg, Outcome.SATISFIED, Note.HIT, answer=1)
+    waiter.join(5.0)
+    assert [step.answer for step in found] == [1]
+
+
+def test_tick_runs_what_is_due_and_says_when_next():
+    stage = Stage()
+    lookup = stage.take(left=300.0)
+    due, _ = stage.facade.tick()
+    assert stage.now < due <= lookup.until
+    while not lookup.ended:
+        stage.now = due
+        due, _ = stage.facade.tick()
+    assert stage.now < lookup.until
+
+
+def test_rest_ends_early_for_an_earlier_timer():
+    stage = Stage()
+    stage.now_is_real()
+    done = threading.Event()
+    waiter = threading.Thread(target=lambda: (stage.facade.rest(stage.now + 60_000.0), done.set()))
+    waiter.start()
+    assert not done.wait(0.05)
+    stage.take()
+    assert done.wait(5.0)
+
+
+@pytest.mark.parametrize("broken", ["looked_up", "answered"])
+def test_a_module_that_fails_still_owes_one_answer(broken):
+    # Guards against a client that waits in vain for a lookup on which the module broke.
+    stage, sink = Stage(), Sink()
+    stage.facade.log_to = sink
+    setattr(stage.facade.director, broken, lambda *_: 1 / 0)
+    lookup = stage.take()
+    if broken == "answered":
+        stage.facade.report(stage.facade.pick(lookup).leg, Outcome.MISS)
+    assert isinstance(stage.facade.pick(lookup), BrokenOff) and sink.events == ["fault"]
+
+
+def test_a_lookup_without_a_verdict_is_broken_off_by_the_clock():
+    stage = Stage()
+    lookup = stage.take(left=200.0)
+    stage.facade.pick(lookup)
+    stage.now += 300.0  # no tick came
+    assert isinstance(stage.until_verdict(lookup), BrokenOff)
+
+
+@pytest.mark.parametrize(
+    "change, kept",
+    [({}, True), ({"address": ("127.0.0.1", 9)}, False), ({"started": 5.0}, False)],
+)
+def test_a_machine_that_starts_again_gets_a_new_place(change, kept):
+    # Guards against legs on the connections of the machine that had the address before.
+    stage = Stage()
+    entry = stage.entries[0]
+    member = stage.facade.nodes[entry.name]
+    before = stage.facade.places[member]
+    for name, value in change.items():
+        setattr(entry, name, value)
+    stage.facade.listed([entry], False)
+    assert (stage.facade.places[member] is before) == kept and before.gone != kept
+
+
+def test_a_node_that_a_whole_list_leaves_out_is_gone():
+    stage = Stage()
+    stage.facade.listed(stage.entries[1:], True)
+    assert [place.gone for place in stage.facade.places.values()] == [True] + [False] * 5
+
+
+class Calls:
+    """Stands for the module and keeps what it is called with."""
+
+    def __init__(self, terms):
+        self.terms, self.seen = terms, []
+
+    def round(self, now, inbox, out):
+        for method, arguments in inbox:
+            if method == "answered":
+                leg, outcome, _, closed, note, waited, load = arguments
+                self.seen.append((outcome, closed, note, waited, load))
+            elif method == "told":
+                self.seen.append(arguments[1])
+
+
+NAMES = list(resp.NOTES)
+
+
+@pytest.mark.parametrize(
+    "word, status, note",
+    [(b"DONE", 0, 1), (b"DONE", 0, 3), (b"DONE", 0, 5), (b"KEEP", 0, 1), (b"LACK", 2, 8), (b"LACK", 2, 0),
+     (b"WAIT", 11, 6), (b"WAIT", 11, 9), (b"BROKE", 5, 7), (b"BROKE", 5, 10), (b"PAST", 114, 0)],
+)
+def test_sockets_and_simulator_call_the_module_alike(word, status, note):
+    stage = Stage()
+    lookup = stage.take()
+    leg = stage.facade.pick(lookup).leg
+    ours = stage.facade.director = Calls(stage.facade.terms)
+    fields = f"delay=12.5,why={NAMES[note - 1]}" if note else "delay=12.5"
+    told = resp.read_told([memoryview(item) for item in (b"a1", word, fields.encode(), b"")], {})
+    stage.facade.report(leg, told.outcome, told.note, told.waited, told.load, told)
+
+    theirs = Instance(1)
+    theirs.take(0.0, wire.BEGIN, (7, json.dumps(settings()).encode()), {})
+    theirs.director = Calls(theirs.director.terms)
+    theirs.lookups[1] = stage.again(lookup)
+    closed = int(status == 0)
+    theirs.take(5.0, wire.ANSWER, (1, 0, bytes(6), status, 3.0, closed, note, 12.5, 0, 0, 0, 0, 0), {})
+    theirs.play(5.0)
+    assert ours.seen == theirs.director.seen and len(ours.seen) == 1
+
+
+def test_a_probe_is_handed_out_and_its_report_handed_in():
+    stage = Stage(report={"how": "probe", "columns": ["x1"]})
+    _, probes = stage.facade.tick()
+    ((node, place),) = probes
+    assert place is stage.facade.places[node]
+    stage.facade.told(node, {"crowding": 2.5})
+    assert stage.facade.director.link == 2.5
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,328 @@
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import Caller, Running, StandBus, StandNode, call_frame, configuration, wait_for
+
+from mulleinrelay.facade import Facade
+from mulleinrelay.interface import Leg
+from mulleinrelay.net import bus, front, service
+
+HIT = (b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes")
+WELL = call_frame("isWell", 1, b"\x02\x00\x01\x00\x00")
+
+
+@pytest.fixture(autouse=True)
+def short_drains(monkeypatch):
+    monkeypatch.setattr(service, "COMING", 0.0)
+    monkeypatch.setattr(service, "SWEEP_EVERY", 100.0)
+
+
+@pytest.mark.parametrize("size", [0, 1, 240_000])
+def test_bytes_pass_through_unchanged(size):
+    body = bytes(range(256)) * (size // 256) + bytes(range(size % 256))
+    with Running((b"DONE", b"why=HIT", body)) as director:
+        caller = director.caller()
+        caller.send()
+        assert caller.answer() == (1, 0, {}, body)
+
+
+def test_a_copy_that_the_client_holds_is_kept():
+    with Running((b"KEEP", b"why=HIT,entity=aa", b"")) as director:
+        caller = director.caller()
+        caller.send(got="4be0c1927d55a6f3")
+        assert caller.answer() == (1, 0, {"ok304": "1"}, b"")
+        assert director.heard()[0][2]["mine"] == "4be0c1927d55a6f3"
+
+
+def test_a_write_goes_on_unchanged():
+    with Running() as director:
+        caller = director.caller()
+        caller.send("order", body=b"\r\n" * 24_000, trace="9b1f03aa5c7e2d41", nonce="5c0f6e1a", nth="3")
+        assert caller.answer()[:2] == (1, 0)
+        ((_, about, fields, body),) = director.heard()
+        assert (about, body) == ("9b1f03aa5c7e2d41", b"\r\n" * 24_000)
+        assert {name: fields[name] for name in ("lane", "name", "piece", "dedupe")} == {
+            "lane": "order", "name": "00000000000000ab", "piece": "3", "dedupe": "5c0f6e1a"}
+
+
+@pytest.mark.parametrize(
+    "use_case, plan, what",
+    [
+        ("pages", (b"WAIT", b"-", b""), 1),
+        ("pages", "reset", 1),
+        ("pages", "nonsense", 1),
+        ("pay", (b"WAIT", b"-", b""), 1),
+        ("pay", (b"BROKE", b"-", b""), 2),
+        ("pay", "reset", 2),
+        ("pay", "nonsense", 2),
+        ("order", "reset", 1),
+    ],
+)
+def test_what_went_wrong_ends_as_the_use_case_permits(use_case, plan, what):
+    with Running(plan) as director:
+        caller = director.caller()
+        caller.send(use_case)
+        assert caller.answer()[:2] == (1, what)
+        assert use_case != "pay" or what == 1 or len(director.heard()) == 1
+
+
+def test_a_refused_connection_proves_that_nothing_ran():
+    with Running() as director:
+        for node in director.nodes:
+            node.close()
+        caller = director.caller()
+        caller.send("pay")
+        assert caller.answer()[:2] == (1, 1)
+
+
+def test_a_silent_node_holds_up_its_own_lookups_alone():
+    with Running(lambda fields: None if fields["name"].endswith("ab") else HIT) as director:
+        caller = director.caller()
+        begun = time.monotonic()
+        caller.send(patience="600")
+        caller.send(entity="00000000000000cd")
+        assert caller.answer()[:2] == (2, 0) and time.monotonic() - begun < 0.5
+        assert caller.answer()[:2] == (1, 1) and time.monotonic() - begun < 0.65
+        assert wait_for(lambda: len(director.heard("KILL")) == len(director.heard()) - 1)
+
+
+def test_a_node_that_does_not_read_holds_up_its_own_lookups_alone(monkeypatch):
+    # Guards against a blocking write in a thread, or under a lock, that others wait for.
+    monkeypatch.setattr(StandNode, "talk", lambda self, connection: time.sleep(3.0) if self.plan else None)
+    with Running() as director:
+        caller = director.caller()
+        for _ in range(30):
+            caller.send("order", body=bytes(48_000), patience="700")
+        begun = time.monotonic()
+        assert {caller.answer()[1] for _ in range(30)} == {1} and time.monotonic() - begun < 1.5
+
+
+def test_forget_and_a_closed_connection_end_the_lookup():
+    with Running(lambda fields: None if fields["name"].endswith("ab") else HIT) as director:
+        caller, other = director.caller(), director.caller()
+        number = caller.send()
+        other.send()
+        assert wait_for(lambda: len(director.heard()) == 2)
+        caller.socket.sendall(call_frame("forget", 0, b"\x08\x00\x01" + number.to_bytes(4, "big") + b"\0", 4))
+        other.close()
+        assert wait_for(lambda: len(director.heard("KILL")) == 2)
+        assert director.service.facade.open_lookups() == 0
+        caller.send(entity="00000000000000cd")
+        assert caller.answer()[:2] == (2, 0)
+
+
+@pytest.mark.parametrize(
+    "changes, told",
+    [
+        ({"use_case": "nope"}, "the field route names no use case"),
+        ({"patience": None}, "the field patience is missing"),
+        ({"patience": "nan"}, "the field patience cannot be read"),
+        ({"patience": "1e300"}, "the field patience cannot be read"),
+        ({"entity": "xyz"}, "the field entity cannot be read"),
+        ({"entity": "0_1"}, "the field entity cannot be read"),
+        ({"trace": "a,miss=s-01"}, "the field trace cannot be read"),
+        ({"got": "a\r\nb"}, "the field got cannot be read"),
+        ({"nth": "-1"}, "the field nth cannot be read"),
+        ({"batch": "x"}, "the field batch cannot be read"),
+        ({"size": "inf"}, "the field size cannot be read"),
+        ({"use_case": "order", "nonce": None}, "the field nonce is missing"),
+        ({"use_case": "order", "nonce": "a=b"}, "the field nonce cannot be read"),
+        ({"use_case": "order", "body": bytes(48_001)}, "a body of 48001 bytes"),
+    ],
+)
+def test_a_call_that_cannot_be_used_makes_no_leg(changes, told):
+    with Running() as director:
+        caller = director.caller()
+        caller.send(**changes)
+        assert caller.answer() == (1, told, {}, b"")
+        caller.send()
+        assert caller.answer()[:2] == (2, 0) and len(director.heard()) == 1
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff\xff\xff", b"\x7f\xff\xff\xff", b"GET / HTTP/1.1\r\n\r\n",
+                                  b"\x00\x00\x00\x04abcd", WELL.replace(b"\x80\1\0\1", b"\x80\2\0\1")])
+def test_what_is_no_call_ends_its_connection_alone(data):
+    with Running() as director:
+        bad, good = director.caller(), director.caller()
+        bad.socket.sendall(data)
+        with pytest.raises((EOFError, ConnectionError)):
+            bad.answer()
+        good.send()
+        assert good.answer()[:2] == (1, 0) and "bad frame" in director.sink.events
+
+
+def test_unknown_methods_are_told_so():
+    with Running() as director:
+        caller = director.caller()
+        caller.socket.sendall(call_frame("what", 5, b"\x00") + WELL)
+        assert caller.answer() == (5, "unknown method", {}, b"")
+        assert caller.answer()[:2] == (1, 0)
+
+
+def test_a_fault_in_a_thread_is_logged_and_its_lookup_answered(monkeypatch):
+    with Running() as director:
+        monkeypatch.setattr(director.service.caches, "send", lambda *_: 1 / 0)
+        caller = director.caller()
+        caller.send()
+        assert caller.answer()[:2] == (1, 2) and "fault" in director.sink.events
+        assert director.service.facade.open_lookups() == 0  # guards against lives that nobody picks for
+
+
+def test_bounds_give_a_plain_outcome(monkeypatch):
+    with Running(None) as director:
+        director.service.front.crew_most, director.service.front.clients_most = 2, 2
+        caller, idle = director.caller(), director.caller()
+        for _ in range(3):
+            caller.send(patience="500")
+        assert caller.answer()[:3] == (3, 1, {})  # no place in the crew: at once
+        idle.socket.sendall(WELL)
+        assert idle.answer()[1] == 0
+        newcomer = director.caller()  # the idle one makes room
+        newcomer.socket.sendall(WELL)
+        assert newcomer.answer()[1] == 0
+        with pytest.raises((EOFError, ConnectionError)):
+            idle.answer()
+
+
+def test_more_legs_than_a_connection_carries_open_further_ones():
+    with Running(lambda fields: None, allowed={"mayDuplicate": False}) as director:
+        caller = director.caller()
+        for _ in range(5):
+            caller.send("order", patience="900")
+        assert wait_for(lambda: len(director.heard()) >= 5)
+        origin = director.nodes[-1]
+        assert len(origin.connections) == 3  # two legs each
+
+
+def test_two_legs_of_one_lookup_at_one_node_are_told_apart():
+    # Guards against the late answer to a leg given up being taken for that of the next leg under the same id.
+    with Running(lambda fields: None) as director:
+        caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
+        legs = [Leg(None, number, None, None, 0.0, 1000.0) for number in range(3)]
+        reported = []
+        director.service.facade.report = lambda leg, *rest: reported.append(leg)
+        for leg in legs[:2]:
+            caches._put(place, "9b", leg, [b"*2\r\n$4\r\nKILL\r\n$2\r\nno\r\n"])
+        assert len({link for link, _ in map(caches.of_leg.get, legs[:2])}) == 2
+        assert wait_for(lambda: all(link.begun for link, _ in map(caches.of_leg.get, legs[:2])))
+        first, _ = caches.of_leg[legs[0]]
+        caches.give_up(legs[0])
+        caches._put(place, "9b", legs[2], [b"*2\r\n$4\r\nKILL\r\n$2\r\nno\r\n"])
+        assert caches.of_leg[legs[2]][0] is not first
+
+
+def test_idle_links_are_closed_from_our_side():
+    with Running(allowed={"connIdle": 100.0}) as director:
+        caller = director.caller()
+        caller.send()
+        assert caller.answer()[:2] == (1, 0) and director.service.caches.count == 1
+        assert wait_for(lambda: director.service.caches.count == 0)
+        caller.send()
+        assert caller.answer()[:2] == (2, 0) and "link down" not in director.sink.events
+
+
+# The event stream
+
+
+def event(number, held):
+    return f"id: {number}\ndata: {json.dumps({'offset': number} | held)}\n\n".encode()
+
+
+OK = b"HTTP/1.1 200 OK\r\n\r\n"
+BAN = {"ban": {"url": "00000000000000ab", "ts": 1}}
+GONE = {"topology": {"version": 2, "full": False, "servers": [
+    {"id": "s-01", "addr": "127.0.0.1:1", "zone": "edge", "kind": "box", "cell": 0, "state": "DELETED"}]}}
+
+
+@pytest.mark.parametrize(
+    "scripts, asked, applied, logged",
+    [
+        ([[OK, event(2, BAN), event(3, BAN)], [OK, event(3, BAN), event(4, GONE), None]], [1, 3], 3, 0),
+        ([[OK, event(2, BAN), None]], [1], 1, 0),  # silent: read again, from the last
+        ([[OK, event(2, BAN), event(4, BAN)], [OK, event(3, BAN), event(4, BAN), None]], [1, 2], 3, 0),
+        ([[OK, event(4, BAN)], [OK, event(4, BAN), event(5, BAN), None]], [1, 1], 2, 0),  # never there
+        ([[b"HTTP/1.1 500 No\r\n\r\n"], [OK, event(2, BAN), None]], [1, 1], 1, 0),
+        ([[OK, b"id: 2\ndata: {\n\n", event(3, {"ban": 7}), event(4, {}), event(5, BAN), None]], [1], 1, 4),
+        ([[OK, event(2, {"topology": {"servers": [{"id": "x"}]}}), event(3, BAN), None]], [1], 1, 1),
+        ([[OK, event(1, GONE), event(2, BAN)[:9], event(2, BAN)[9:], None]], [1], 1, 0),
+    ],
+)
+def test_events_are_applied_once_and_none_is_skipped(scripts, asked, applied, logged, monkeypatch):
+    monkeypatch.setattr(bus, "SILENCE", 0.3)
+    stand, seen, play = StandBus(*scripts), [], Facade._play
+    monkeypatch.setattr(Facade, "_play", lambda facade, *call: (seen.append(call[0]), play(facade, *call)))
+    with Running(bus=stand) as director:
+        assert wait_for(lambda: len(stand.asked) > len(asked))  # asked again after the script's silence
+        assert stand.asked[:len(asked)] == asked
+        assert stand.asked[len(asked)] == director.service.bus.last
+        seen_events = sum(method in ("listed", "purged") for method in seen)
+        assert seen_events == 1 + applied and director.sink.events.count("bad event") == logged
+
+
+def test_a_purge_bounds_the_age_of_copies():
+    ban = {"ban": {"tag": 17, "ts": time.time() * 1000 - 500}}
+    with Running(bus=StandBus([OK, event(2, ban), None])) as director:
+        assert wait_for(lambda: director.service.bus.last == 2)
+        caller = director.caller()
+        caller.send()
+        caller.send(batch="18", entity="00000000000000cd")
+        assert {caller.answer()[1], caller.answer()[1]} == {0}
+        within = {fields["name"][-2:]: fields.get("within") for _, _, fields, _ in director.heard()}
+        assert within["cd"] is None and 400 < int(within["ab"]) < 5000
+
+
+# From start to exit
+
+
+def test_a_drain_answers_what_is_open(monkeypatch):
+    monkeypatch.setattr(service, "LAST_ANSWERS", 0.3)
+    with Running(None) as director:
+        caller = director.caller()
+        caller.send()
+        caller.send("pay")
+        assert wait_for(lambda: len(director.heard()) == 2)
+        director.service.stop()
+        assert wait_for(lambda: director.service.phase == service.Phase.DRAINING)
+        late = director.caller()
+        late.socket.sendall(WELL)
+        assert late.answer()[:2] == (1, 0) and not director.service.front.well
+        assert sorted(caller.answer()[:2] for _ in range(2)) == [(1, 1), (2, 2)]
+        assert director.service.ended.wait(5.0) and director.service.phase == service.Phase.STOPPED
+
+
+def test_the_program_serves_until_it_is_told_to_end(tmp_path):
+    nodes = [StandNode(HIT) for _ in range(6)]
+    stand = StandBus()
+    probe = StandBus()  # only for a port that is free
+    probe.close()
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration([node.address for node in nodes], stand.address, probe.address)))
+    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    program = subprocess.Popen([sys.executable, "-m", "mulleinrelay", "serve"], cwd=root,
+                               stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(file)})
+    try:
+        assert json.loads(program.stderr.readline())["phase"] == "ready"
+        host, port = probe.address.split(":")
+        caller = Caller((host, int(port)))
+        caller.socket.sendall(WELL)
+        assert caller.answer()[:2] == (1, 0)
+        caller.send(trace="00000000000000ff")
+        assert caller.answer() == (1, 0, {}, b"bytes")
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(10.0) == 0
+        assert [json.loads(line)["phase"] for line in program.stderr] == ["draining", "stopped"]
+    finally:
+        program.kill()
+        for each in (*nodes, stand):
+            each.close()
+        program.stderr.close()
+
+
+def test_crew_is_bounded_by_memory():
+    with Running() as director:
+        assert director.service.front.crew_most == int(192 * front.CREW_PER_MB)
