Answers leave their threads at once: one outlet writes for clients and links

Found by reading: a crew thread wrote to its client blocking, so that 12 clients that do not read (32 answers each) could hold the whole crew of 384 for up to 6 s; at fault was Client.write in front.py. The way links wrote already (what does not go at once waits for a thread of its own) now stands in net/outlet.py for both, with the bytes that wait counted and bounded: beyond a fifth of the memory the connection that adds to them is ended, and what was cut is seen not to be whole. A test fails without it.

--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -8,7 +8,6 @@
 import itertools
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,6 +16,7 @@
 from ..interface import Leg, Node, Outcome
 from ..log import Log
 from . import resp
+from .outlet import Outlet
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 SILENT = 1000.0  # ms without a word on a link with a leg given up: new legs get a new link
@@ -34,19 +34,15 @@
 class Link:
     """One connection to a node. All fields are guarded by the lock of its Links."""
 
-    def __init__(self, place: Place, now: float) -> None:
+    def __init__(self, place: Place, now: float, lock: threading.Lock) -> None:
         self.place, self.used, self.heard = place, now, now
-        self.socket: socket.socket | None = None
-        self.closed = False
+        self.outlet = Outlet(lock)
         self.open: dict[str, Leg | Probe] = {}
         self.over: dict[str, float] = {}  # given up here; a late answer may still come
-        self.waiting: deque[tuple[str, memoryview | bytes]] = deque()  # not written yet
-        self.begun: set[str] = set()  # legs of which at least a byte was written
-        self.catching_up = False
         self.given_up = 0.0  # when a leg was given up with nothing heard since it was sent
 
     def takes(self, about: str, most: int) -> bool:
-        return (not self.closed and len(self.open) < most and about not in self.open
+        return (not self.outlet.ended and len(self.open) < most and about not in self.open
                 and about not in self.over and not self.given_up)
 
 
@@ -89,11 +85,9 @@
                 return
             if link.heard < leg.sent:
                 link.given_up = link.given_up or self.clock()
-            if about in link.begun:
+            if not link.outlet.withdraw(about):
                 link.over[about] = self.clock()
-                self._write(link, [(about, resp.kill(about))])
-            else:
-                link.waiting = deque(entry for entry in link.waiting if entry[0] != about)
+                link.outlet.put(None, [resp.kill(about)])
 
     def probe(self, node: Node, place: Place, with_report: bool = True) -> None:
         tag = f"probe-{next(self.tags)}"
@@ -112,14 +106,14 @@
                             link.given_up = link.given_up or (now if link.heard < held.sent else 0.0)
                     if not link.open and (place.gone or link.given_up
                                           or now > link.used + IDLE_SHARE * self.idle_for):
-                        self._drop(link)
+                        link.outlet.end()
 
     def stop(self) -> None:
         with self.lock:
             self.stopped = True
             for links in list(self.links.values()):
                 for link in list(links):
-                    self._drop(link)
+                    link.outlet.end()
 
     # Inside
 
@@ -130,7 +124,7 @@
             link = min((link for link in links if link.takes(about, self.legs_a_connection)),
                        key=lambda link: len(link.open), default=None)
             if link is None and self.count < self.links_most and not self.stopped:
-                link = Link(place, now)
+                link = Link(place, now, self.lock)
                 links.append(link)
                 self.count += 1
                 threading.Thread(target=self._run, args=(link,), name="link", daemon=True).start()
@@ -138,48 +132,10 @@
                 link.open[about], link.used = held, now
                 if isinstance(held, Leg):
                     self.of_leg[held] = (link, about)
-                self._write(link, [(about, piece) for piece in pieces])
+                link.outlet.put(about, pieces)
         if link is None and isinstance(held, Leg):
             self.facade.report(held, Outcome.UNCONNECTED)
 
-    def _write(self, link: Link, pieces: list[tuple[str, memoryview | bytes]]) -> None:
-        """Writes what goes at once; the rest is left to the link. Under the lock."""
-        if link.socket is None or link.waiting or link.catching_up:
-            link.waiting.extend(pieces)
-            return
-        try:
-            sent = link.socket.sendmsg([piece for _, piece in pieces], [], socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            sent = 0
-        except OSError:  # its thread reads the same and ends the link
-            sent = 0
-            link.closed = True
-            link.socket.shutdown(socket.SHUT_RDWR) if link.socket.fileno() >= 0 else None
-        for about, piece in pieces:
-            if sent > 0:
-                link.begun.add(about)
-            if sent < len(piece):
-                link.waiting.append((about, memoryview(piece)[max(0, sent):]))
-            sent -= len(piece)
-        if link.waiting and not link.closed:
-            link.catching_up = True
-            threading.Thread(target=self._catch_up, args=(link,), name="catch-up", daemon=True).start()
-
-    def _catch_up(self, link: Link) -> None:
-        """Writes what waits, blocking; only this link waits for it."""
-        try:
-            while True:
-                with self.lock:
-                    if not link.waiting or link.closed:
-                        link.catching_up = False
-                        return
-                    about, piece = link.waiting.popleft()
-                    link.begun.add(about)
-                link.socket.sendall(piece)
-        except OSError:
-            with self.lock:
-                link.catching_up, link.closed = False, True
-
     def _run(self, link: Link) -> None:
         """The thread of a link: connects, then reads until the end."""
         outcome, why = Outcome.UNCONNECTED, ""
@@ -190,13 +146,8 @@
             connection.settimeout(None)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             outcome = Outcome.RESET
-            with self.lock:
-                if link.closed:
-                    return
-                link.socket, link.heard = connection, self.clock()
-                link.catching_up = True
-            self._catch_up(link)
-            self._read(link, connection)
+            if link.outlet.open(connection):
+                self._read(link, connection)
         except OSError as broken:
             why = errno.errorcode.get(broken.errno or 0, type(broken).__name__)
         except resp.RespError as broken:
@@ -215,7 +166,6 @@
                     held = link.open.pop(told.about, None)
                     link.used = link.heard = self.clock()
                     link.given_up = 0.0
-                    link.begun.discard(told.about)
                     known = held is not None or told.about in link.over or told.about.startswith("probe-")
                     if isinstance(held, Leg):
                         self.of_leg.pop(held, None)
@@ -226,30 +176,23 @@
                 elif not known:
                     self.log.event("unknown id", node=link.place.name, about=told.about[:32])
 
-    def _drop(self, link: Link) -> None:
-        """Closes a link from our side. Under the lock."""
-        link.closed = True
-        if link.socket is not None:
-            try:
-                link.socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
     def _end(self, link: Link, connection: socket.socket, outcome: Outcome, why: str) -> None:
         with self.lock:
-            ours, link.closed = link.closed, True
+            ours = link.outlet.ended
+            link.outlet.end()
             links = self.links.get(link.place, [])
             if link in links:
                 links.remove(link)
                 self.count -= 1
             if not links:
                 self.links.pop(link.place, None)
-            lost = [(held, about in link.begun) for about, held in link.open.items() if isinstance(held, Leg)]
+            lost = [(held, link.outlet.unbegun(about)) for about, held in link.open.items()
+                    if isinstance(held, Leg)]
             for held, _ in lost:
                 self.of_leg.pop(held, None)
-            link.open, link.waiting = {}, deque()
+            link.open = {}
             connection.close()
         if lost or not ours:
             self.log.event("link down", node=link.place.name, lost=len(lost), why=why or "closed")
-        for held, begun in lost:
-            self.facade.report(held, outcome if begun else Outcome.UNCONNECTED)
+        for held, unbegun in lost:
+            self.facade.report(held, Outcome.UNCONNECTED if unbegun else outcome)
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -13,6 +13,7 @@
 from ..log import Log
 from . import thrift
 from .caches import Caches
+from .outlet import Outlet, Piece
 
 BACKLOG = 1024
 CREW_PER_MB = 2  # lookups seen through at one time, for each MB: a body takes a quarter of one at most
@@ -21,6 +22,7 @@
 NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
+UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
 TIMEVAL = struct.Struct("ll")
 
 
@@ -43,34 +45,27 @@
 
     def __init__(self, connection: socket.socket) -> None:
         self.connection = connection
-        self.lock = threading.Lock()  # guards `open` and `ended`
-        self.write_lock = threading.Lock()  # one answer is written at a time
-        self.open: dict[int, Lookup | None] = {}
-        self.ended = False
-
-    def write(self, pieces: list[memoryview | bytes]) -> None:
-        with self.write_lock:
-            if self.ended:
-                return
-            try:
-                total, sent = sum(map(len, pieces)), self.connection.sendmsg(pieces)
-                while sent < total:
-                    rest = []
-                    for piece in pieces:
-                        if sent < len(piece):
-                            rest.append(memoryview(piece)[sent:])
-                        sent = max(0, sent - len(piece))
-                    pieces, total = rest, sum(map(len, rest))
-                    sent = self.connection.sendmsg(pieces)
-            except OSError:
-                self.end()
+        self.lock = threading.Lock()  # guards `open` and the outlet
+        self.outlet = Outlet(self.lock)
+        self.outlet.connection = connection
+        self.open: dict[int, Lookup] = {}
+
+    def write(self, pieces: list[Piece]) -> None:
+        with self.lock:
+            self.outlet.put(None, pieces)
+
+    def answer(self, number: int, pieces: list[Piece]) -> None:
+        """The one answer of a lookup; nothing where none is owed any more."""
+        with self.lock:
+            if self.open.pop(number, None) is not None:
+                self.outlet.put(number, pieces)
+
+    def owed(self) -> bool:
+        return bool(self.open or self.outlet.queued) and not self.outlet.ended
 
     def end(self) -> None:
-        self.ended = True
-        try:
-            self.connection.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
+        with self.lock:
+            self.outlet.end()
 
 
 class Front:
@@ -103,7 +98,7 @@
             client.end()
 
     def owes(self) -> bool:
-        return any(client.open for client in list(self.clients))
+        return any(client.owed() for client in list(self.clients))
 
     # Connections
 
@@ -130,7 +125,7 @@
         with self.lock:
             idle = None
             if len(self.clients) >= self.clients_most:
-                idle = next((other for other in self.clients if not other.open and not other.ended), None)
+                idle = next((other for other in self.clients if not other.owed()), None)
                 if idle is None:
                     connection.close()
                     return self.log.event("client turned away", clients=len(self.clients))
@@ -156,9 +151,8 @@
             with client.lock:
                 left, client.open = list(client.open.values()), {}
             for lookup in left:
-                if lookup is not None:
-                    self.facade.forget(lookup)
-            with client.write_lock:
+                self.facade.forget(lookup)
+            with client.lock:
                 client.connection.close()
             with self.lock:
                 self.clients.pop(client, None)
@@ -171,9 +165,7 @@
             elif call.method == "forget":
                 number = thrift.read_forget(call.rest)
                 with client.lock:
-                    lookup = client.open.get(number)
-                    if lookup is not None:
-                        del client.open[number]
+                    lookup = client.open.pop(number, None)
                 if lookup is not None:
                     self.facade.forget(lookup)
             elif call.method == "isWell":
@@ -257,7 +249,7 @@
             except Exception as broken:
                 self.log.fault("crew", broken)
                 self.facade.drop(wanted.lookup)
-                self._answer(client, number, thrift.broken_off(number))
+                client.answer(number, thrift.broken_off(number))
             client = wanted = None
             with self.lock:
                 self.idle += 1
@@ -273,22 +265,19 @@
                 told = step.answer
                 fields = {"ok304": "1"} if told.kept else {}
                 body = b"" if told.kept else told.body
-                return self._answer(client, number, thrift.answer("serve", number, body, fields, True))
+                client.answer(number, thrift.answer("serve", number, body, fields, True))
+                return self._bound_unread(client) if client.outlet.queued else None
             elif isinstance(step, PushedBack):
-                return self._answer(client, number, thrift.pushed_back(number, step.come_back))
+                return client.answer(number, thrift.pushed_back(number, step.come_back))
             elif isinstance(step, BrokenOff):
-                return self._answer(client, number, thrift.broken_off(number))
+                return client.answer(number, thrift.broken_off(number))
             elif isinstance(step, Left):
                 return None
 
-    def _answer(self, client: Client, number: int, pieces: list[memoryview | bytes]) -> None:
-        with client.lock:
-            owed = client.open.get(number) is not None
-            if owed:
-                client.open[number] = None  # being answered: nobody else may
-        if owed:
-            try:
-                client.write(pieces)
-            finally:
-                with client.lock:
-                    client.open.pop(number, None)
+    def _bound_unread(self, client: Client) -> None:
+        """Ends the connection of one who does not read, where too much of the memory waits for such."""
+        with self.lock:
+            unread = sum(other.outlet.queued for other in self.clients)
+        if unread > UNREAD_SHARE * self.start.memory_mb * 1e6:
+            self.log.event("client does not read", bytes=client.outlet.queued, all=unread)
+            client.end()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,8 +1,10 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -11,6 +13,7 @@
 from mulleinrelay.facade import Facade
 from mulleinrelay.interface import Leg
 from mulleinrelay.net import bus, front, service
+from mulleinrelay.net.outlet import Outlet
 
 HIT = (b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes")
 WELL = call_frame("isWell", 1, b"\x02\x00\x01\x00\x00")
@@ -102,6 +105,43 @@
         assert {caller.answer()[1] for _ in range(30)} == {1} and time.monotonic() - begun < 1.5
 
 
+def test_a_client_that_does_not_read_holds_up_nobody_else():
+    # Guards against a crew that waits for one client, and against a memory full of what it has not read.
+    with Running((b"DONE", b"why=HIT", bytes(240_000))) as director:
+        stalled, other = director.caller(), director.caller()
+        front = director.service.front
+        front.start.memory_mb = 10
+        for _ in range(30):
+            stalled.send()
+        assert wait_for(lambda: front.idle == front.crew)
+        other.send()
+        assert other.answer()[:2] == (1, 0)
+        assert wait_for(lambda: len(front.clients) == 1) and "client does not read" in director.sink.events
+        with pytest.raises((EOFError, ConnectionError)):  # what was cut is not whole
+            for _ in range(30):
+                stalled.answer()
+
+
+def test_what_waits_for_a_link_can_be_taken_back_while_nothing_of_it_is_written():
+    ours, theirs = socket.socketpair()
+    outlet = Outlet(threading.Lock())
+    with outlet.lock:
+        outlet.put("a", [b"first", b"second"])
+        outlet.put("b", [b"third"])
+        assert outlet.withdraw("a") and not outlet.withdraw("a") and outlet.unbegun("b")
+    assert outlet.open(ours) and theirs.recv(100) == b"third" and outlet.queued == 0
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    with outlet.lock:
+        outlet.put("c", [b"x" * 1_000_000])
+        outlet.put("d", [b"last"])
+        assert outlet.withdraw("d") and not outlet.withdraw("c")
+    left = 1_000_000
+    while left:
+        left -= len(theirs.recv(65_536))
+    theirs.close()
+    ours.close()
+
+
 def test_forget_and_a_closed_connection_end_the_lookup():
     with Running(lambda fields: None if fields["name"].endswith("ab") else HIT) as director:
         caller, other = director.caller(), director.caller()
@@ -208,9 +248,10 @@
         director.service.facade.report = lambda leg, *rest: reported.append(leg)
         for leg in legs[:2]:
             caches._put(place, "9b", leg, [b"*2\r\n$4\r\nKILL\r\n$2\r\nno\r\n"])
-        assert len({link for link, _ in map(caches.of_leg.get, legs[:2])}) == 2
-        assert wait_for(lambda: all(link.begun for link, _ in map(caches.of_leg.get, legs[:2])))
-        first, _ = caches.of_leg[legs[0]]
+        links = [caches.of_leg[leg][0] for leg in legs[:2]]
+        first = links[0]
+        assert len(set(links)) == 2
+        assert wait_for(lambda: not any(link.outlet.unbegun("9b") for link in links))
         caches.give_up(legs[0])
         caches._put(place, "9b", legs[2], [b"*2\r\n$4\r\nKILL\r\n$2\r\nno\r\n"])
         assert caches.of_leg[legs[2]][0] is not first
