A stalled link, log or thread limit holds up nothing; the drain ends with the platform's time

Found by reading the code against the issue, each with a test that fails without it: - a leg that waits unwritten behind a stalled connection could go out seconds later, after a drain's or a purge's grace (caches.py, _put): taken back once it has waited as long as connecting may take, and reported as never run; links are swept each 250 ms for it - a log whose reader stalls held up the module's lock, as lines were written under it (log.py): a thread of its own writes them, 1,000 lines wait at most, what does not fit is counted - threads that cannot be had left lookups without an answer (front.py, _serve; caches.py, _put): pushed back at once, or a leg that never ran - the last answers of a drain came at fixed 3.2 s, past SIGKILL where the longest client timeout is under 3 s (service.py, wait) - a node's word on a probe given for a leg left that leg open until its time was over (caches.py, _read).

--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -15,7 +15,8 @@
 
 def serve(options: argparse.Namespace) -> int:
     start = from_environment(os.environ, options.config)
-    service = Service(start, Log(start.name))
+    log = Log(start.name)
+    service = Service(start, log)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: service.stop())
     try:
@@ -25,6 +26,7 @@
               file=sys.stderr)
         return NOT_STARTED
     service.wait()
+    log.close()
     return DONE
 
 
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -94,8 +94,10 @@
         self._put(place, tag, Probe(node, self.clock()), [resp.probe(tag, with_report)])
 
     def sweep(self) -> None:
-        """Closes what has long been idle, is gone or silent, and forgets probes that nobody answered."""
-        now = self.clock()
+        """Closes what has long been idle, is gone or silent, forgets probes that nobody answered, and takes
+        back legs of which nothing could be written for as long as connecting may take: they never ran, and
+        sent later they might come after a drain or a purge."""
+        now, stuck = self.clock(), []
         with self.lock:
             for place, links in list(self.links.items()):
                 for link in list(links):
@@ -104,9 +106,17 @@
                         if isinstance(held, Probe) and now > held.sent + PROBE_WAIT:
                             del link.open[tag]
                             link.given_up = link.given_up or (now if link.heard < held.sent else 0.0)
+                        elif (isinstance(held, Leg) and now > held.sent + self.connect_timeout
+                              and link.outlet.withdraw(tag)):
+                            del link.open[tag]
+                            self.of_leg.pop(held, None)
+                            link.given_up = link.given_up or now
+                            stuck.append(held)
                     if not link.open and (place.gone or link.given_up
                                           or now > link.used + IDLE_SHARE * self.idle_for):
                         link.outlet.end()
+        for leg in stuck:
+            self.facade.report(leg, Outcome.UNCONNECTED)
 
     def stop(self) -> None:
         with self.lock:
@@ -124,10 +134,7 @@
             link = min((link for link in links if link.takes(about, self.legs_a_connection)),
                        key=lambda link: len(link.open), default=None)
             if link is None and self.count < self.links_most and not self.stopped:
-                link = Link(place, now, self.lock)
-                links.append(link)
-                self.count += 1
-                threading.Thread(target=self._run, args=(link,), name="link", daemon=True).start()
+                link = self._connect(place, links, now)
             if link is not None:
                 link.open[about], link.used = held, now
                 if isinstance(held, Leg):
@@ -136,6 +143,18 @@
         if link is None and isinstance(held, Leg):
             self.facade.report(held, Outcome.UNCONNECTED)
 
+    def _connect(self, place: Place, links: list[Link], now: float) -> Link | None:
+        """Under the lock. A new link, or None where no thread is to be had for it."""
+        link = Link(place, now, self.lock)
+        try:
+            threading.Thread(target=self._run, args=(link,), name="link", daemon=True).start()
+        except RuntimeError as broken:
+            self.log.fault("link", broken)
+            return None
+        links.append(link)
+        self.count += 1
+        return link
+
     def _run(self, link: Link) -> None:
         """The thread of a link: connects, then reads until the end."""
         outcome, why = Outcome.UNCONNECTED, ""
@@ -171,8 +190,9 @@
                         self.of_leg.pop(held, None)
                 if isinstance(held, Probe):
                     self.facade.told(held.node, told.load)
-                elif held is not None and told.outcome is not None:
-                    self.facade.report(held, told.outcome, told.note, told.waited, told.load, told)
+                elif held is not None:  # a probe's word on a leg is an error of the node
+                    outcome = Outcome.ERROR if told.outcome is None else told.outcome
+                    self.facade.report(held, outcome, told.note, told.waited, told.load, told)
                 elif not known:
                     self.log.event("unknown id", node=link.place.name, about=told.about[:32])
 
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -185,38 +185,34 @@
         fields, body = thrift.read_serve(call.rest)
         if call.number in client.open:  # only this thread adds to it
             raise thrift.ThriftError(f"the number {call.number} is open already")
-        hire = self._reserve()
-        if hire is None:  # no leg has gone
+        if not self._reserve():  # no leg has gone
             return client.write(thrift.pushed_back(call.number, 0.0))
         try:
             wanted = self._want(fields, body)
         except BaseException:
-            self._release(hire)
+            with self.lock:
+                self.idle += 1
             raise
         with client.lock:
             client.open[call.number] = wanted.lookup
         self.work.put((client, call.number, wanted))
-        if hire:
-            threading.Thread(target=self._crew, name="crew", daemon=True).start()
 
-    def _reserve(self) -> bool | None:
-        """A place in the crew: False one that is idle, True one to be hired, None where all are busy."""
+    def _reserve(self) -> bool:
+        """Whether one of the crew is there for a further lookup, hired for it if need be."""
         with self.lock:
             if self.idle > 0:
                 self.idle -= 1
-                return False
+                return True
             if self.crew >= self.crew_most:
-                return None
+                return False
+            try:
+                threading.Thread(target=self._crew, name="crew", daemon=True).start()
+            except RuntimeError as broken:
+                self.log.fault("crew", broken)
+                return False
             self.crew += 1
             return True
 
-    def _release(self, hired: bool) -> None:
-        with self.lock:
-            if hired:
-                self.crew -= 1
-            else:
-                self.idle += 1
-
     def _want(self, fields: dict[str, str], body: memoryview) -> Wanted:
         def read(name: str, form: re.Pattern[str], default: str | None = None) -> str:
             value = fields.get(name, default)
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -14,9 +14,10 @@
 
 STACK = 128 * 1024  # bytes; of these only what is touched counts
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
-SWEEP_EVERY = 1000.0
+SWEEP_EVERY = 250.0
 COMING = 1.0  # s after the call to stop in which clients still come
-LAST_ANSWERS, WRITTEN = 3.2, 3.5  # s after it: all that is open gets its final answer; exit
+LONGEST_WAIT, SPARE = 3.0, 0.7  # s that the platform waits: the longest client timeout, so much at most, and this
+LAST_ANSWERS, WRITTEN = 0.5, 0.2  # s before the platform's end: all that is open gets its final answer; exit
 
 
 class Phase(Enum):
@@ -59,12 +60,14 @@
     def wait(self) -> None:
         self.stopping.wait()
         begun = time.monotonic()
+        longest = max(case.client_timeout for case in self.start_settings.use_cases.values()) / 1000.0
+        end = min(LONGEST_WAIT, longest) + SPARE
         self.front.well = False
         self._enter(Phase.DRAINING)
-        while (since := time.monotonic() - begun) < WRITTEN:
+        while (since := time.monotonic() - begun) < end - WRITTEN:
             if since >= COMING and not self.facade.open_lookups() and not self.front.owes():
                 break
-            if since >= LAST_ANSWERS:
+            if since >= end - LAST_ANSWERS:
                 self.facade.wind_up()
             time.sleep(0.02)
         self.front.stop()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -11,8 +11,10 @@
 from helpers import Caller, Running, StandBus, StandNode, call_frame, configuration, wait_for
 
 from mulleinrelay.facade import Facade
-from mulleinrelay.interface import Leg
+from mulleinrelay.interface import Leg, Outcome
+from mulleinrelay.log import Log
 from mulleinrelay.net import bus, front, service
+from mulleinrelay.net.caches import Link
 from mulleinrelay.net.outlet import Outlet
 
 HIT = (b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes")
@@ -22,7 +24,6 @@
 @pytest.fixture(autouse=True)
 def short_drains(monkeypatch):
     monkeypatch.setattr(service, "COMING", 0.0)
-    monkeypatch.setattr(service, "SWEEP_EVERY", 100.0)
 
 
 @pytest.mark.parametrize("size", [0, 1, 240_000])
@@ -142,6 +143,64 @@
     ours.close()
 
 
+def test_a_leg_that_could_not_be_written_is_taken_back_in_time():
+    # Guards against a stalled link that sends a leg seconds later, after a drain or a purge.
+    with Running() as director:
+        caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
+        leg = Leg(None, 0, None, None, director.service.clock(), 6000.0)
+        reported = []
+        director.service.facade.report = lambda *word: reported.append(word)
+        ours, theirs = socket.socketpair()
+        with caches.lock:
+            link = Link(place, 0.0, caches.lock)
+            link.outlet.connection = ours
+            caches.links[place] = [link]
+            link.outlet.put(None, [bytes(4_000_000)])
+        caches._put(place, "9b", leg, [b"never"])
+        assert wait_for(lambda: reported, 2.0) and reported == [(leg, Outcome.UNCONNECTED)]
+        theirs.close()
+        ours.close()
+
+
+@pytest.mark.parametrize("use_case", ["pages", "pay"])
+def test_threads_that_cannot_be_had_give_a_plain_outcome(use_case, monkeypatch):
+    with Running() as director:
+        caller = director.caller()
+        caller.socket.sendall(WELL)
+        caller.answer()
+        start = threading.Thread.start
+
+        def refuse(thread):
+            if thread.name == ("crew" if use_case == "pages" else "link"):
+                raise RuntimeError("can't start new thread")
+            start(thread)
+
+        monkeypatch.setattr(threading.Thread, "start", refuse)
+        caller.send(use_case)
+        assert caller.answer()[:2] == (1, 1) and not director.heard()
+        monkeypatch.undo()
+        caller.send(use_case)
+        assert caller.answer()[:2] == (2, 0)
+
+
+def test_a_log_that_nobody_reads_holds_up_nothing():
+    reads, writes = os.pipe()
+    log = Log("n3", writes)
+    begun = time.monotonic()
+    for number in range(3000):
+        log.event("phase", text="x" * 200, number=number)
+    assert time.monotonic() - begun < 1.0 and 0 < log.dropped < 3000
+    dropped, lines = log.dropped, b""
+    while lines.count(b"\n") < 3000 - dropped:
+        lines += os.read(reads, 65_536)
+    log.event("phase")
+    log.close(5.0)
+    last = json.loads(os.read(reads, 65_536))
+    assert last["dropped"] == dropped and last["director"] == "n3"
+    os.close(reads)
+    os.close(writes)
+
+
 def test_forget_and_a_closed_connection_end_the_lookup():
     with Running(lambda fields: None if fields["name"].endswith("ab") else HIT) as director:
         caller, other = director.caller(), director.caller()
@@ -321,7 +380,7 @@
 
 
 def test_a_drain_answers_what_is_open(monkeypatch):
-    monkeypatch.setattr(service, "LAST_ANSWERS", 0.3)
+    monkeypatch.setattr(service, "LAST_ANSWERS", 3.4)  # of 3.7 s
     with Running(None) as director:
         caller = director.caller()
         caller.send()
