--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -56,6 +56,7 @@
         self.legs_a_connection, self.links_most = legs_a_connection, links_most
         self.lock = threading.Lock()
         self.links: dict[Place, list[Link]] = {}
+        self.down: dict[Place, int] = {}  # places whose last link failed, with the legs lost since the first
         self.of_leg: dict[Leg, tuple[Link, str]] = {}
         self.count, self.stopped = 0, False
         self.tags = itertools.count(1)
@@ -99,6 +100,7 @@
         sent later they might come after a drain or a purge."""
         now, stuck = self.clock(), []
         with self.lock:
+            self.down = {place: lost for place, lost in self.down.items() if not place.gone}
             for place, links in list(self.links.items()):
                 for link in list(links):
                     link.over = {about: at for about, at in link.over.items() if now < at + OVER_FOR}
@@ -165,6 +167,10 @@
             connection.settimeout(None)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             outcome = Outcome.RESET
+            with self.lock:
+                lost = self.down.pop(link.place, None)
+            if lost is not None:
+                self.log.event("link up", node=link.place.name, lost=lost)
             if link.outlet.open(connection):
                 self._read(link, connection)
         except OSError as broken:
@@ -212,7 +218,10 @@
                 self.of_leg.pop(held, None)
             link.open = {}
             connection.close()
-        if lost or not ours:
+            first = (lost or not ours) and link.place not in self.down
+            if lost or not ours:
+                self.down[link.place] = self.down.get(link.place, 0) + len(lost)
+        if first:  # one line until it is up again, not one a leg
             self.log.event("link down", node=link.place.name, lost=len(lost), why=why or "closed")
         for held, unbegun in lost:
             self.facade.report(held, Outcome.UNCONNECTED if unbegun else outcome)
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -16,7 +16,7 @@
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY = 250.0
 COMING = 1.0  # s after the call to stop in which clients still come
-LONGEST_WAIT, SPARE = 3.0, 0.7  # s that the platform waits: the longest client timeout, so much at most, and this
+LONGEST_WAIT, SPARE = 3.0, 0.7  # s: the platform waits for the longest client timeout or this, and for this
 LAST_ANSWERS, WRITTEN = 0.5, 0.2  # s before the platform's end: all that is open gets its final answer; exit
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -80,8 +80,11 @@
         for node in director.nodes:
             node.close()
         caller = director.caller()
-        caller.send("pay")
-        assert caller.answer()[:2] == (1, 1)
+        for number in range(1, 9):
+            caller.send("pay")
+            assert caller.answer()[:2] == (number, 1)
+        nodes = [figures["node"] for figures in director.sink.figures if "node" in figures]
+        assert len(nodes) == len(set(nodes)) > 0  # one line until a link is up again
 
 
 def test_a_silent_node_holds_up_its_own_lookups_alone():
