--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -220,3 +220,10 @@
     assert place is stage.facade.places[node]
     stage.facade.told(node, {"crowding": 2.5})
     assert stage.facade.director.link == 2.5
+
+
+def test_a_report_in_an_answer_reaches_the_module():
+    stage = Stage(report={"how": "answers", "columns": ["x1"]})
+    leg = stage.facade.pick(stage.take()).leg
+    stage.facade.report(leg, Outcome.SATISFIED, Note.HIT, load={"crowding": 3.5})
+    assert stage.facade.director.link == 3.5
