Wire words end in the codecs; one unreadable entry of a list no more hides the others

thrift.py gives an Asked with every field checked, resp.py makes a leg of it and the module's order, sse.py reads what events say; front, links and bus know none of these words any more. An event of the list with one entry that can't be read was passed over whole, drains in it included (bus.py, _topology): now only that entry is, and logged. A test fails without it.

--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -12,51 +12,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .interface import Leg, Lookup, Note, Outcome, State, Terms, UseCase
+from .interface import Leg, Listing, Lookup, Note, Order, Outcome, Place, State, Terms, UseCase
 from .log import Log
 from .policy import Director, Member
 
 ANSWER_SLACK = 8.0  # a lookup without a verdict so long after its client's time is broken off by the caller
 
 
-@dataclass(slots=True, eq=False)
-class Place:
-    """Where a node is found: its name and address on the wire. A machine that starts again gets a new one."""
-
-    name: str
-    address: tuple[str, int]
-    gone: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Listing:
-    """One node as the list tells of it."""
-
-    name: str
-    address: tuple[str, int]
-    state: State
-    share: float
-    kind: int
-    zone: int
-    cell: int
-    started: float
-
-
-@dataclass(slots=True, eq=False)
-class Order:
-    """Send this leg."""
-
-    leg: Leg
-    place: Place
-    source: str  # the name of the node that a miss is filled from; empty: no fill
-    max_age: float
-    rank: int
-    join: bool
-    held_only: bool
-    parent_keeps: bool
-    renew: bool
-
-
 @dataclass(slots=True, eq=False)
 class GiveUp:
     """Call this leg off."""
--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -142,6 +142,61 @@
     legs: list[Leg] = field(default_factory=list)
 
 
+@dataclass(slots=True, eq=False)
+class Asked:
+    """A lookup as its client worded it; the texts and the body go on with each leg, unchanged."""
+
+    use_case: str
+    mark: str
+    object: str
+    part: str
+    receipt: str  # by which a repeat is known; empty: none
+    tag: str  # of the copy that the client holds; empty: none
+    body: memoryview
+    left: float  # ms that the client waits
+    group: int
+    size: float
+    repeated: bool
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """Where a node is found: its name and address on the wire. A machine that starts again gets a new one."""
+
+    name: str
+    address: tuple[str, int]
+    gone: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Listing:
+    """One node as the list tells of it."""
+
+    name: str
+    address: tuple[str, int]
+    state: State
+    share: float
+    kind: int
+    zone: int
+    cell: int
+    started: float
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """Send this leg."""
+
+    leg: Leg
+    place: Place
+    source: str  # the name of the node that a miss is filled from; empty: no fill
+    max_age: float
+    rank: int
+    join: bool
+    held_only: bool
+    parent_keeps: bool
+    renew: bool
+
+
 class Writer(Protocol):
     """Where decisions go, one method an action."""
 
--- a/mulleinrelay/net/bus.py
+++ b/mulleinrelay/net/bus.py
@@ -6,15 +6,13 @@
 
 import orjson
 
-from ..configuration import Section, Start
-from ..facade import Facade, Listing
-from ..interface import State
+from ..configuration import Start
+from ..facade import Facade
 from ..log import Log
 from . import sse
 
 SILENCE = 2.5  # s: a comment comes each second
 FIRST_WAIT, WAIT_MOST = 0.05, 1.0  # s before a further connection after one that brought nothing
-STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 PIECE = 65_536
 
 
@@ -49,8 +47,7 @@
     def apply(self, number: int | None, held: Any, follows: bool = True) -> None:
         """One event; one that is known already is passed over, one that can't be read is logged."""
         try:
-            event = Section(held, "event")
-            number = event.whole("offset", number)
+            number = sse.number_of(held, number)
             if number is not None:
                 if number <= self.last:
                     return
@@ -58,33 +55,18 @@
                     self.gap_at = self.last
                     raise GapError(f"event {number} after {self.last}")
                 self.last = number
-            if "topology" in event.held:
-                self._topology(event.section("topology"))
-            elif "ban" in event.held:
-                self._purge(event.section("ban"))
-            else:
-                self.log.event("bad event", number=number, why="neither topology nor ban")
+            event = sse.read_event(held, self.start.zones, self.start.kinds)
+            if isinstance(event, sse.Purged):
+                self.facade.purged(event.key, event.group, event.at)
+                return
+            self.facade.listed(event.entries, event.whole)
+            for wrong in event.wrong:
+                self.log.event("bad event", number=number, why=wrong)
         except GapError:  # read again from the last, once
             raise
         except Exception as wrong:
             self.log.event("bad event", number=number, why=f"{type(wrong).__name__}: {wrong}")
 
-    def _topology(self, topology: Section) -> None:
-        zones, kinds = self.start.zones, self.start.kinds
-        entries = [
-            Listing(row.text("id"), row.address("addr"), row.choice("state", STATES),
-                    row.number("weight", 1.0), row.choice("kind", kinds),
-                    row.choice("zone", zones), row.whole("cell", 0),
-                    float(row.number("started_ms", 0)))
-            for row in topology.sections("servers")]
-        self.facade.listed(entries, topology.flag("full", False))
-
-    def _purge(self, ban: Section) -> None:
-        if "url" in ban.held:
-            self.facade.purged(int(ban.text("url"), 16), ban.whole("tag", 0), ban.number("ts"))
-        else:
-            self.facade.purged(0, ban.whole("tag"), ban.number("ts"))
-
     def _run(self) -> None:
         wait = 0.0
         while not self.stopped.wait(wait):
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from ..configuration import REPORT_WORDS
-from ..facade import Facade, Order, Place
-from ..interface import Leg, Node, Outcome
+from ..facade import Facade
+from ..interface import Asked, Leg, Node, Order, Outcome, Place
 from ..log import Log
 from . import resp
 from .outlet import Outlet
@@ -22,7 +22,6 @@
 SILENT = 1000.0  # ms without a word on a link with a leg given up: new legs get a new link
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
-HOWS = ("join", "collapse"), ("held_only", "only-if-cached"), ("renew", "refresh")
 
 
 @dataclass(slots=True, eq=False)
@@ -63,21 +62,9 @@
 
     # For those who see a lookup through
 
-    def send(self, order: Order, about: str, fields: dict[str, str], body: memoryview | bytes) -> None:
+    def send(self, order: Order, asked: Asked) -> None:
         leg = order.leg
-        listed = dict(fields)
-        listed["ttl"] = str(max(1, int(leg.lookup.until - self.clock())))
-        if order.source:
-            listed["miss"] = order.source
-        if order.rank:
-            listed["prio"] = str(order.rank)
-        if order.max_age > 0.0:
-            listed["within"] = str(max(1, int(order.max_age)))
-        words = [word for name, word in HOWS if getattr(order, name)]
-        words += [] if order.parent_keeps else ["no-store-up"]
-        if words:
-            listed["f"] = "+".join(words)
-        self._put(order.place, about, leg, resp.pull(about, listed, body))
+        self._put(order.place, asked.mark, leg, resp.pull(asked, order, leg.lookup.until - self.clock()))
 
     def give_up(self, leg: Leg) -> None:
         with self.lock:
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -1,15 +1,13 @@
 """Clients: connections that bring lookups, and the crew that sees each lookup through to its one answer."""
 
 import queue
-import re
 import socket
 import struct
 import threading
-from dataclasses import dataclass
 
 from ..configuration import Start
-from ..facade import BrokenOff, Facade, GiveUp, Left, Order, PushedBack, Satisfied
-from ..interface import RECEIPTED, Lookup
+from ..facade import BrokenOff, Facade, GiveUp, Left, PushedBack, Satisfied
+from ..interface import RECEIPTED, Asked, Lookup, Order
 from ..log import Log
 from . import thrift
 from .caches import Caches
@@ -17,29 +15,11 @@
 
 BACKLOG = 1024
 CREW_PER_MB = 2  # lookups seen through at one time, for each MB: a body takes a quarter of one at most
-TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}", re.ASCII)  # what may stand in a leg's fields unchanged
-HEX = re.compile(r"[0-9a-fA-F]{1,16}", re.ASCII)
-NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
 TIMEVAL = struct.Struct("ll")
 
 
-class BadCallError(Exception):
-    """A call that cannot be used; the text says why."""
-
-
-@dataclass(slots=True, eq=False)
-class Wanted:
-    """A lookup as its client worded it, for the way on."""
-
-    lookup: Lookup
-    trace: str
-    fields: dict[str, str]  # those of every leg
-    body: memoryview
-
-
 class Client:
     """One connection of clients."""
 
@@ -173,7 +153,7 @@
             else:
                 client.write(thrift.application_exception(call.method, call.number, thrift.UNKNOWN_METHOD,
                                                           "unknown method"))
-        except (thrift.ThriftError, BadCallError) as wrong:
+        except thrift.ThriftError as wrong:
             self.log.event("bad call", method=call.method, why=str(wrong))
             if call.kind == thrift.CALL:
                 client.write(thrift.application_exception(call.method, call.number, thrift.PROTOCOL_ERROR,
@@ -182,20 +162,22 @@
     # Lookups
 
     def _serve(self, client: Client, call: thrift.Call) -> None:
-        fields, body = thrift.read_serve(call.rest)
+        asked = thrift.read_serve(call.rest)
+        use_case = self.start.use_cases.get(asked.use_case)
+        if use_case is None:
+            raise thrift.ThriftError("an unknown use case")
+        if use_case.repeat == RECEIPTED and not asked.receipt:
+            raise thrift.ThriftError("no receipt")
         if call.number in client.open:  # only this thread adds to it
             raise thrift.ThriftError(f"the number {call.number} is open already")
         if not self._reserve():  # no leg has gone
             return client.write(thrift.pushed_back(call.number, 0.0))
-        try:
-            wanted = self._want(fields, body)
-        except BaseException:
-            with self.lock:
-                self.idle += 1
-            raise
+        left = min(asked.left, use_case.client_timeout)
+        lookup = self.facade.take(use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
+                                  left, asked.repeated)
         with client.lock:
-            client.open[call.number] = wanted.lookup
-        self.work.put((client, call.number, wanted))
+            client.open[call.number] = lookup
+        self.work.put((client, call.number, lookup, asked))
 
     def _reserve(self) -> bool:
         """Whether one of the crew is there for a further lookup, hired for it if need be."""
@@ -213,48 +195,24 @@
             self.crew += 1
             return True
 
-    def _want(self, fields: dict[str, str], body: memoryview) -> Wanted:
-        def read(name: str, form: re.Pattern[str], default: str | None = None) -> str:
-            value = fields.get(name, default)
-            if value is None:
-                raise BadCallError(f"the field {name} is missing")
-            if not form.fullmatch(value):
-                raise BadCallError(f"the field {name} cannot be read")
-            return value
-
-        use_case = self.start.use_cases.get(read("route", TOKEN))
-        if use_case is None:
-            raise BadCallError("the field route names no use case")
-        trace, entity, nth = read("trace", TOKEN), read("entity", HEX), read("nth", NUMBER, "0")
-        left, group = float(read("patience", DECIMAL)), int(read("batch", NUMBER, "0"))
-        size = float(read("size", DECIMAL, "0"))
-        onward = {"lane": fields["route"], "name": entity, "piece": nth}
-        if use_case.repeat == RECEIPTED or "nonce" in fields:
-            onward["dedupe"] = read("nonce", TOKEN)
-        if "got" in fields:
-            onward["mine"] = read("got", TOKEN)
-        lookup = self.facade.take(use_case, int(entity, 16), int(nth), group, size,
-                                  min(left, use_case.client_timeout), "redo" in fields)
-        return Wanted(lookup, trace, onward, body)
-
     def _crew(self) -> None:
         while True:
-            client, number, wanted = self.work.get()
+            client, number, lookup, asked = self.work.get()
             try:
-                self._see_through(client, number, wanted)
+                self._see_through(client, number, lookup, asked)
             except Exception as broken:
                 self.log.fault("crew", broken)
-                self.facade.drop(wanted.lookup)
+                self.facade.drop(lookup)
                 client.answer(number, thrift.broken_off(number))
-            client = wanted = None
+            client = lookup = asked = None  # what was received may go
             with self.lock:
                 self.idle += 1
 
-    def _see_through(self, client: Client, number: int, wanted: Wanted) -> None:
+    def _see_through(self, client: Client, number: int, lookup: Lookup, asked: Asked) -> None:
         while True:
-            step = self.facade.pick(wanted.lookup)
+            step = self.facade.pick(lookup)
             if isinstance(step, Order):
-                self.caches.send(step, wanted.trace, wanted.fields, wanted.body)
+                self.caches.send(step, asked)
             elif isinstance(step, GiveUp):
                 self.caches.give_up(step.leg)
             elif isinstance(step, Satisfied):
--- a/mulleinrelay/net/resp.py
+++ b/mulleinrelay/net/resp.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass
 
-from ..interface import Note, Outcome
+from ..interface import Asked, Note, Order, Outcome
 from .intake import Intake
 
 BULK_MOST = 262_144
 ITEMS_MOST, LINE_MOST = 8, 32
 ENDS = {b"DONE": Outcome.SATISFIED, b"KEEP": Outcome.SATISFIED, b"LACK": Outcome.MISS,
         b"WAIT": Outcome.TURNED_AWAY, b"BROKE": Outcome.ERROR, b"PAST": Outcome.MOOT}
+HOWS = (("join", "collapse"), ("held_only", "only-if-cached"), ("renew", "refresh"))
 WELL = {b"FIT": True, b"UNFIT": False}
 NOTES = {word: Note(place + 1) for place, word in enumerate(
     ("HIT", "MISS", "MISS_ORIGIN", "COLLAPSED", "STALE", "UP_BUSY", "UP_DOWN", "UP_MISS", "NO_FILL",
@@ -141,13 +142,29 @@
     return b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%s\r\n" % (len(item), item) for item in items)
 
 
-def pull(about: str, fields: dict[str, str], body: memoryview | bytes) -> list[memoryview | bytes]:
+def pull(asked: Asked, order: Order, left: float) -> list[memoryview | bytes]:
     """A leg, as pieces to be written one after the other."""
+    fields = {"lane": asked.use_case, "name": asked.object, "piece": asked.part, "ttl": max(1, int(left))}
+    if asked.receipt:
+        fields["dedupe"] = asked.receipt
+    if asked.tag:
+        fields["mine"] = asked.tag
+    if order.source:
+        fields["miss"] = order.source
+    if order.rank:
+        fields["prio"] = order.rank
+    if order.max_age > 0.0:  # 0 would mean any age
+        fields["within"] = max(1, int(order.max_age))
+    hows = [word for name, word in HOWS if getattr(order, name)]
+    if not order.parent_keeps:
+        hows.append("no-store-up")
+    if hows:
+        fields["f"] = "+".join(hows)
     listed = ",".join(f"{name}={value}" for name, value in fields.items()).encode()
-    head = command(b"PULL", about.encode(), listed or b"-").replace(b"*3", b"*4", 1)
-    if not len(body):
+    head = command(b"PULL", asked.mark.encode(), listed).replace(b"*3", b"*4", 1)
+    if not len(asked.body):
         return [head + b"$0\r\n\r\n"]
-    return [head + b"$%d\r\n" % len(body), body, b"\r\n"]
+    return [head + b"$%d\r\n" % len(asked.body), asked.body, b"\r\n"]
 
 
 def kill(about: str) -> bytes:
--- a/mulleinrelay/net/sse.py
+++ b/mulleinrelay/net/sse.py
@@ -1,9 +1,15 @@
-"""The event stream: an HTTP response head, then server-sent events, plain or in chunks; pure, no sockets."""
+"""The event stream: an HTTP response head, then server-sent events, plain or in chunks, and what the events
+say; pure, no sockets."""
 
 from dataclasses import dataclass
+from typing import Any
+
+from ..configuration import ConfigurationError, Section
+from ..interface import Listing, State
 
 LINE_MOST = 4_194_304  # the first event holds the whole list
 HEAD_MOST = 16_384
+STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
 class SseError(Exception):
@@ -97,3 +103,43 @@
         elif name == "id" and value.isdecimal():
             self.number = int(value)
         return None
+
+
+@dataclass(slots=True, eq=False)
+class Listed:
+    entries: list[Listing]
+    whole: bool
+    wrong: list[str]  # entries that can't be read, and why
+
+
+@dataclass(slots=True, eq=False)
+class Purged:
+    key: int  # 0: the whole group
+    group: int
+    at: float
+
+
+def number_of(held: Any, number: int | None) -> int | None:
+    """The number that an event gives itself, else that of its line."""
+    return Section(held, "event").whole("offset", number)
+
+
+def read_event(held: Any, zones: dict[str, int], kinds: dict[str, int]) -> Listed | Purged:
+    """What an event says. Raises ConfigurationError or ValueError, with the key, where it can't be read."""
+    event = Section(held, "event")
+    if "ban" in event.held:
+        ban = event.section("ban")
+        if "url" in ban.held:
+            return Purged(int(ban.text("url"), 16), ban.whole("tag", 0), ban.number("ts"))
+        return Purged(0, ban.whole("tag"), ban.number("ts"))
+    topology = event.section("topology")
+    listed = Listed([], topology.flag("full", False), [])
+    for row in topology.sections("servers"):
+        try:
+            listed.entries.append(Listing(
+                row.text("id"), row.address("addr"), row.choice("state", STATES), row.number("weight", 1.0),
+                row.choice("kind", kinds), row.choice("zone", zones), row.whole("cell", 0),
+                float(row.number("started_ms", 0))))
+        except ConfigurationError as wrong:  # the others count
+            listed.wrong.append(str(wrong))
+    return listed
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -1,8 +1,10 @@
 """Framed transport and strict binary protocol of the clients' service; pure, no sockets."""
 
+import re
 import struct
 from dataclasses import dataclass
 
+from ..interface import Asked
 from .intake import Intake
 
 BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
@@ -14,6 +16,10 @@
 FRAME_MOST = BODY_MOST + 16_384
 INT, UINT, SHORT = struct.Struct(">i"), struct.Struct(">I"), struct.Struct(">h")
 STOP = b"\0"
+TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}", re.ASCII)  # what may go on in a leg's list of fields unchanged
+HEX = re.compile(r"[0-9a-fA-F]{1,16}", re.ASCII)
+NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 
 
 class ThriftError(Exception):
@@ -135,8 +141,8 @@
     return call
 
 
-def read_serve(reader: Reader) -> tuple[dict[str, str], memoryview]:
-    """The arguments of `serve`: fields and body."""
+def read_serve(reader: Reader) -> Asked:
+    """The arguments of `serve`, each field checked by its form."""
     fields, body = None, reader.frame[:0]
     while (kind := reader.byte()) != 0:
         number = reader.short()
@@ -150,7 +156,25 @@
             reader.skip(kind)
     if fields is None:
         raise ThriftError("no fields")
-    return fields, body
+    return _asked(fields, body)
+
+
+def _asked(fields: dict[str, str], body: memoryview) -> Asked:
+    def read(name: str, form: re.Pattern[str], default: str | None = None) -> str:
+        value = fields.get(name)
+        if value is None and default is not None:
+            return default
+        if value is None:
+            raise ThriftError(f"the field {name} is missing")
+        if not form.fullmatch(value):
+            raise ThriftError(f"the field {name} cannot be read")
+        return value
+
+    return Asked(
+        use_case=read("route", TOKEN), mark=read("trace", TOKEN), object=read("entity", HEX),
+        part=read("nth", NUMBER, "0"), receipt=read("nonce", TOKEN, ""), tag=read("got", TOKEN, ""),
+        body=body, left=float(read("patience", DECIMAL)), group=int(read("batch", NUMBER, "0")),
+        size=float(read("size", DECIMAL, "0")), repeated="redo" in fields)
 
 
 def read_forget(reader: Reader) -> int:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,8 +8,20 @@
 import time
 
 from mulleinrelay.configuration import Section, decode, read_terms
-from mulleinrelay.facade import Facade, GiveUp, Listing, Order
-from mulleinrelay.interface import PURE, ColdRule, Leg, Lookup, Note, Outcome, State, Terms, UseCase
+from mulleinrelay.facade import Facade, GiveUp
+from mulleinrelay.interface import (
+    PURE,
+    ColdRule,
+    Leg,
+    Listing,
+    Lookup,
+    Note,
+    Order,
+    Outcome,
+    State,
+    Terms,
+    UseCase,
+)
 from mulleinrelay.net import resp, thrift
 from mulleinrelay.net.service import Service
 from mulleinrelay.policy import Director, Member
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -3,11 +3,12 @@
 import pytest
 from helpers import call_frame, serve_frame
 
-from mulleinrelay.interface import Note, Outcome
+from mulleinrelay.interface import Asked, Note, Order, Outcome
 from mulleinrelay.net import resp, sse, thrift
 from mulleinrelay.net.intake import Intake
 from mulleinrelay.wirehost import NOTES, OUTCOMES
 
+FIELDS = {"route": "pages", "trace": "9b1f", "patience": "1500", "entity": "ab"}
 STEPS = [1, 2, 3, 5, 7, 64, 10**6]
 
 
@@ -43,13 +44,13 @@
 
 @pytest.mark.parametrize("step", STEPS)
 def test_frames_are_the_same_in_any_split(step):
-    calls = [serve_frame(number, {"route": "pages", "entity": f"{number:016x}"}, b"x" * size)
+    calls = [serve_frame(number, FIELDS | {"entity": f"{number:016x}"}, b"x" * size)
              for number, size in ((1, 0), (2, 9000), (3, 1))]
     found = [thrift.read_call(frame) for frame in feed(thrift.Frames(64), b"".join(calls), step)]
     assert [(call.method, call.kind, call.number) for call in found] == [("serve", 1, n) for n in (1, 2, 3)]
     read = [thrift.read_serve(call.rest) for call in found]
-    assert [fields["entity"] for fields, _ in read] == [f"{n:016x}" for n in (1, 2, 3)]
-    assert [len(body) for _, body in read] == [0, 9000, 1]
+    assert [(asked.object, len(asked.body)) for asked in read] == [
+        ("0" * 15 + "1", 0), ("0" * 15 + "2", 9000), ("0" * 15 + "3", 1)]
 
 
 @pytest.mark.parametrize("size", [-1, 0, thrift.FRAME_MOST + 1, 2**31 - 1])
@@ -75,9 +76,10 @@
 
 @pytest.mark.parametrize("unknown", UNKNOWN)
 def test_unknown_fields_are_skipped(unknown):
-    fields, body = thrift.read_serve(thrift.Reader(memoryview(
-        unknown + MAP + unknown + b"\x00")))
-    assert fields == {"a": "b"} and len(body) == 0
+    (frame,) = feed(thrift.Frames(), serve_frame(1, FIELDS | {"new": "1"}, b"xy"), 1000)
+    known = bytes(thrift.read_call(frame).rest.frame[17:-1])
+    asked = thrift.read_serve(thrift.Reader(memoryview(unknown + known + unknown + b"\x00")))
+    assert (asked.use_case, asked.left, bytes(asked.body)) == ("pages", 1500.0, b"xy")
 
 
 @pytest.mark.parametrize(
@@ -191,9 +193,16 @@
 
 
 def test_commands_as_on_the_wire():
-    assert b"".join(resp.pull("9b", {"lane": "pages", "piece": "0"}, b"xy")) == (
-        b"*4\r\n$4\r\nPULL\r\n$2\r\n9b\r\n$18\r\nlane=pages,piece=0\r\n$2\r\nxy\r\n")
-    assert b"".join(resp.pull("9b", {}, b"")).endswith(b"$1\r\n-\r\n$0\r\n\r\n")
+    plain = Order(None, None, "", 0.0, 0, False, False, True, False)
+    asked = Asked("pages", "9b", "ab", "0", "", "", b"xy", 9.0, 0, 0.0, False)
+    assert b"".join(resp.pull(asked, plain, 7.9)) == (
+        b"*4\r\n$4\r\nPULL\r\n$2\r\n9b\r\n$32\r\nlane=pages,name=ab,piece=0,ttl=7\r\n$2\r\nxy\r\n")
+    full = Order(None, None, "s-1", 0.5, 2, True, True, False, True)
+    asked = Asked("p", "9b", "ab", "0", "5c", "4b", b"", 9.0, 0, 0.0, False)
+    words = b"".join(resp.pull(asked, full, 0.2))
+    assert words.split(b"\r\n")[6:] == [
+        b"lane=p,name=ab,piece=0,ttl=1,dedupe=5c,mine=4b,miss=s-1,prio=2,within=1,"
+        b"f=collapse+only-if-cached+refresh+no-store-up", b"$0", b"", b""]
     assert resp.kill("9b") == b"*2\r\n$4\r\nKILL\r\n$2\r\n9b\r\n"
     assert resp.probe("p", True) == b"*2\r\n$5\r\nMETER\r\n$1\r\np\r\n"
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -226,7 +226,7 @@
 @pytest.mark.parametrize(
     "changes, told",
     [
-        ({"use_case": "nope"}, "the field route names no use case"),
+        ({"use_case": "nope"}, "an unknown use case"),
         ({"patience": None}, "the field patience is missing"),
         ({"patience": "nan"}, "the field patience cannot be read"),
         ({"patience": "1e300"}, "the field patience cannot be read"),
@@ -237,7 +237,7 @@
         ({"nth": "-1"}, "the field nth cannot be read"),
         ({"batch": "x"}, "the field batch cannot be read"),
         ({"size": "inf"}, "the field size cannot be read"),
-        ({"use_case": "order", "nonce": None}, "the field nonce is missing"),
+        ({"use_case": "order", "nonce": None}, "no receipt"),
         ({"use_case": "order", "nonce": "a=b"}, "the field nonce cannot be read"),
         ({"use_case": "order", "body": bytes(48_001)}, "a body of 48001 bytes"),
     ],
@@ -356,7 +356,7 @@
         ([[OK, event(4, BAN)], [OK, event(4, BAN), event(5, BAN), None]], [1, 1], 2, 0),  # never there
         ([[b"HTTP/1.1 500 No\r\n\r\n"], [OK, event(2, BAN), None]], [1, 1], 1, 0),
         ([[OK, b"id: 2\ndata: {\n\n", event(3, {"ban": 7}), event(4, {}), event(5, BAN), None]], [1], 1, 4),
-        ([[OK, event(2, {"topology": {"servers": [{"id": "x"}]}}), event(3, BAN), None]], [1], 1, 1),
+        ([[OK, event(2, {"topology": {"servers": [{"id": "x"}]}}), event(3, BAN), None]], [1], 2, 1),
         ([[OK, event(1, GONE), event(2, BAN)[:9], event(2, BAN)[9:], None]], [1], 1, 0),
     ],
 )
