--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -165,6 +165,24 @@
         ours.close()
 
 
+def test_a_reset_proves_that_nothing_ran_only_where_nothing_was_written():
+    with Running() as director:
+        caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
+        legs = [Leg(None, number, None, None, director.service.clock(), 6000.0) for number in range(2)]
+        reported = []
+        director.service.facade.report = lambda *word: reported.append(word)
+        ours, theirs = socket.socketpair()
+        link = Link(place, 0.0, caches.lock)
+        link.outlet.connection = ours
+        link.open = {"9b": legs[0], "9c": legs[1]}
+        with caches.lock:
+            link.outlet.put("9b", [bytes(4_000_000)])
+            link.outlet.put("9c", [b"never"])
+        theirs.close()
+        caches._end(link, ours, Outcome.RESET, "")
+        assert reported == [(legs[0], Outcome.RESET), (legs[1], Outcome.UNCONNECTED)]
+
+
 @pytest.mark.parametrize("use_case", ["pages", "pay"])
 def test_threads_that_cannot_be_had_give_a_plain_outcome(use_case, monkeypatch):
     with Running() as director:
@@ -395,11 +413,13 @@
         caller.send("pay")
         assert wait_for(lambda: len(director.heard()) == 2)
         director.service.stop()
+        begun = time.monotonic()
         assert wait_for(lambda: director.service.phase == service.Phase.DRAINING)
         late = director.caller()
         late.socket.sendall(WELL)
         assert late.answer()[:2] == (1, 0) and not director.service.front.well
         assert sorted(caller.answer()[:2] for _ in range(2)) == [(1, 1), (2, 2)]
+        assert 0.25 < time.monotonic() - begun < 1.5
         assert director.service.ended.wait(5.0) and director.service.phase == service.Phase.STOPPED
 
 
