The crew has an upper bound whatever the memory; a clock thread that fails waits before it goes on

Found by reading: with 2 GB the crew could grow to 4,096 threads (front.py), and a fault that stays in the clock thread would have spun (service.py, _keep_time).

--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -14,7 +14,7 @@
 from .outlet import Outlet, Piece
 
 BACKLOG = 1024
-CREW_PER_MB = 2  # lookups seen through at one time, for each MB: a body takes a quarter of one at most
+CREW_PER_MB, CREW_MOST = 2, 1024  # lookups seen through at one time: a body takes a quarter of a MB at most
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
 TIMEVAL = struct.Struct("ll")
@@ -51,7 +51,7 @@
 class Front:
     def __init__(self, start: Start, facade: Facade, caches: Caches, log: Log, clients_most: int) -> None:
         self.start, self.facade, self.caches, self.log = start, facade, caches, log
-        self.clients_most, self.crew_most = clients_most, int(CREW_PER_MB * start.memory_mb)
+        self.clients_most, self.crew_most = clients_most, min(CREW_MOST, int(CREW_PER_MB * start.memory_mb))
         self.well = False
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -93,3 +93,4 @@
                 self.facade.rest(min(due, sweep))
             except Exception as broken:
                 self.log.fault("clock", broken)
+                self.ended.wait(0.05)  # should it go on, the others still get the core
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,6 +10,7 @@
 import pytest
 from helpers import Caller, Running, StandBus, StandNode, call_frame, configuration, wait_for
 
+from mulleinrelay.configuration import decode
 from mulleinrelay.facade import Facade
 from mulleinrelay.interface import Leg, Outcome
 from mulleinrelay.log import Log
@@ -451,6 +452,33 @@
         program.stderr.close()
 
 
-def test_crew_is_bounded_by_memory():
+def test_a_step_of_the_systems_clock_reaches_no_timer(monkeypatch):
     with Running() as director:
-        assert director.service.front.crew_most == int(192 * front.CREW_PER_MB)
+        before = director.service.clock()
+        assert abs(before - time.time() * 1000.0) < 1000.0
+        monkeypatch.setattr(time, "time", lambda: 0.0)
+        assert 0.0 <= director.service.clock() - before < 1000.0
+
+
+def test_a_clock_that_fails_goes_on(monkeypatch):
+    with Running() as director:
+        tick, failed = director.service.facade.tick, []
+
+        def fail_once():
+            if not failed:
+                failed.append(1)
+                raise KeyError("tick")
+            return tick()
+
+        monkeypatch.setattr(director.service.facade, "tick", fail_once)
+        caller = director.caller()
+        assert wait_for(lambda: "fault" in director.sink.events)
+        caller.send()
+        assert caller.answer()[:2] == (1, 0) and director.sink.events.count("fault") == 1
+
+
+@pytest.mark.parametrize("memory, most", [(192, 384), (100_000, 1024)])
+def test_the_crew_is_bounded(memory, most):
+    start = decode(json.dumps(configuration()))
+    start.memory_mb = memory
+    assert front.Front(start, None, None, None, 1).crew_most == most
