Process-wide settings go to the command line; a client without a thread is not counted

Found by reading: Service.start set the stack size and froze the collector for whoever embeds it (service.py); a connection for which no thread was to be had stayed in the table of clients (front.py, _welcome).

--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -1,20 +1,24 @@
 """The command line: serve, check, version."""
 
 import argparse
+import gc
 import os
 import signal
 import sys
+import threading
 
 from . import VERSION
 from .configuration import ConfigurationError, from_environment
 from .log import Log
 from .net.service import Service
 
+STACK = 128 * 1024  # bytes for each thread; of these only what is touched counts
 DONE, NOT_STARTED, BAD_CONFIGURATION = 0, 1, 2
 
 
 def serve(options: argparse.Namespace) -> int:
     start = from_environment(os.environ, options.config)
+    threading.stack_size(STACK)
     log = Log(start.name)
     service = Service(start, log)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -25,6 +29,8 @@
         print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {wrong.strerror}",
               file=sys.stderr)
         return NOT_STARTED
+    gc.collect()
+    gc.freeze()  # what stands at the start stays: the collector need not look at it again
     service.wait()
     log.close()
     return DONE
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -19,7 +19,6 @@
 from .outlet import Outlet
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
-SILENT = 1000.0  # ms without a word on a link with a leg given up: new legs get a new link
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
@@ -31,7 +30,7 @@
 
 
 class Link:
-    """One connection to a node. All fields are guarded by the lock of its Links."""
+    """One connection to a node. All fields are guarded by the lock of Caches."""
 
     def __init__(self, place: Place, now: float, lock: threading.Lock) -> None:
         self.place, self.used, self.heard = place, now, now
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -1,9 +1,11 @@
 """Clients: connections that bring lookups, and the crew that sees each lookup through to its one answer."""
 
+import errno
 import queue
 import socket
 import struct
 import threading
+import time
 
 from ..configuration import Start
 from ..facade import BrokenOff, Facade, GiveUp, Left, PushedBack, Satisfied
@@ -87,10 +89,10 @@
             try:
                 connection, _ = self.listener.accept()
             except OSError as broken:
-                if self.listener.fileno() < 0 or broken.errno in (22, 9):
+                if broken.errno in (errno.EINVAL, errno.EBADF):  # closed by `stop`
                     return
-                self.log.fault("accept", broken)
-                threading.Event().wait(0.05)
+                self.log.fault("accept", broken)  # out of descriptors, say
+                time.sleep(0.05)
                 continue
             try:
                 self._welcome(connection)
@@ -112,7 +114,12 @@
             self.clients[client] = None
         if idle is not None:  # the oldest with nothing open makes room
             idle.end()
-        threading.Thread(target=self._read, args=(client,), name="client", daemon=True).start()
+        try:
+            threading.Thread(target=self._read, args=(client,), name="client", daemon=True).start()
+        except RuntimeError:
+            with self.lock:
+                del self.clients[client]
+            raise
 
     def _read(self, client: Client) -> None:
         frames = thrift.Frames()
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -1,6 +1,5 @@
 """One director from start to exit: made from a Start, started, stopped; no signals, no environment."""
 
-import gc
 import threading
 import time
 from enum import Enum
@@ -12,7 +11,6 @@
 from .caches import Caches
 from .front import Front
 
-STACK = 128 * 1024  # bytes; of these only what is touched counts
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY = 250.0
 COMING = 1.0  # s after the call to stop in which clients still come
@@ -44,11 +42,8 @@
         return self.offset + time.monotonic() * 1000.0
 
     def start(self) -> None:
-        threading.stack_size(STACK)
         self.bus.begin()
         threading.Thread(target=self._keep_time, name="clock", daemon=True).start()
-        gc.collect()
-        gc.freeze()
         self.front.begin()
         self.front.well = True
         self._enter(Phase.READY)
@@ -60,7 +55,8 @@
     def wait(self) -> None:
         self.stopping.wait()
         begun = time.monotonic()
-        longest = max(case.client_timeout for case in self.start_settings.use_cases.values()) / 1000.0
+        use_cases = self.start_settings.use_cases.values()
+        longest = max((case.client_timeout for case in use_cases), default=0.0) / 1000.0
         end = min(LONGEST_WAIT, longest) + SPARE
         self.front.well = False
         self._enter(Phase.DRAINING)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -193,13 +193,16 @@
         start = threading.Thread.start
 
         def refuse(thread):
-            if thread.name == ("crew" if use_case == "pages" else "link"):
+            if thread.name in ("client", "crew" if use_case == "pages" else "link"):
                 raise RuntimeError("can't start new thread")
             start(thread)
 
         monkeypatch.setattr(threading.Thread, "start", refuse)
         caller.send(use_case)
         assert caller.answer()[:2] == (1, 1) and not director.heard()
+        with pytest.raises((EOFError, ConnectionError)):
+            director.caller().answer()
+        assert len(director.service.front.clients) == 1
         monkeypatch.undo()
         caller.send(use_case)
         assert caller.answer()[:2] == (2, 0)
