SIGHUP has the configuration read again and the event stream followed to its new address

Checked: exit code 129 is the default action of signal 1; cli.py sets handlers for TERM and INT only, nothing else had ended. Signals now go to a queue that the main thread obeys in turn; HUP reads the file by configuration.py, a faulty one is logged with its key and what was read last holds on. The bus thread ends its connection and reads on at the new address from the last event applied, so that none is lost or applied twice.

--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -3,6 +3,7 @@
 import argparse
 import gc
 import os
+import queue
 import signal
 import sys
 import threading
@@ -17,12 +18,13 @@
 
 
 def serve(options: argparse.Namespace) -> int:
+    told: queue.SimpleQueue[int] = queue.SimpleQueue()  # signals, which the main thread obeys in turn
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # HUP, unhandled, would end the program
+        signal.signal(number, lambda number, _: told.put(number))
     start = from_environment(os.environ, options.config)
     threading.stack_size(STACK)
     log = Log(start.name)
     service = Service(start, log)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: service.stop())
     try:
         service.start()
     except OSError as wrong:
@@ -31,6 +33,12 @@
         return NOT_STARTED
     gc.collect()
     gc.freeze()  # what stands at the start stays: the collector need not look at it again
+    while told.get() == signal.SIGHUP:
+        try:
+            service.renew(from_environment(os.environ, options.config))
+        except ConfigurationError as wrong:  # what was read last holds on
+            log.event("configuration kept", why=str(wrong))
+    service.stop()
     service.wait()
     log.close()
     return DONE
--- a/mulleinrelay/net/bus.py
+++ b/mulleinrelay/net/bus.py
@@ -23,9 +23,10 @@
 class Bus:
     def __init__(self, start: Start, facade: Facade, log: Log) -> None:
         self.start, self.facade, self.log = start, facade, log
+        self.address = start.bus
         self.last, self.gap_at = 0, 0
         self.connection: socket.socket | None = None
-        self.stopped = threading.Event()
+        self.stopped, self.moved = threading.Event(), threading.Event()
         self.thread = threading.Thread(target=self._run, name="bus", daemon=True)
 
     def begin(self) -> None:
@@ -35,8 +36,18 @@
         self.last = max(self.last, self.start.known)
         self.thread.start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The stream is read on elsewhere, from the last event applied."""
+        self.address = address
+        self._wake()
+
     def stop(self) -> None:
         self.stopped.set()
+        self._wake()
+
+    def _wake(self) -> None:
+        """Ends the connection and the wait for a further one."""
+        self.moved.set()
         connection = self.connection
         if connection is not None:
             try:
@@ -69,21 +80,27 @@
 
     def _run(self) -> None:
         wait = 0.0
-        while not self.stopped.wait(wait):
-            before, why = self.last, "closed"
+        while True:
+            self.moved.clear()
+            if self.stopped.is_set():
+                return
+            address, before, why = self.address, self.last, "closed"
             try:
-                self._follow()
+                self._follow(*address)
             except Exception as broken:  # whatever it was, the stream is read on
                 why = f"{type(broken).__name__}: {broken}"
             wait = 0.0 if self.last > before else min(WAIT_MOST, max(FIRST_WAIT, 2.0 * wait))
+            if self.moved.wait(wait):
+                wait, why = 0.0, "moved"
             if not self.stopped.is_set():
                 self.log.event("bus reconnects", last=self.last, why=why)
 
-    def _follow(self) -> None:
-        host, port = self.start.bus
+    def _follow(self, host: str, port: int) -> None:
         connection = socket.create_connection((host, port), timeout=SILENCE)
         self.connection = connection
         try:
+            if self.moved.is_set():  # while it was opened, so that nobody has ended it
+                return
             connection.sendall(sse.call(f"{host}:{port}", self.last))
             stream = sse.Stream()
             while piece := connection.recv(PIECE):
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -48,6 +48,11 @@
         self.front.well = True
         self._enter(Phase.READY)
 
+    def renew(self, start: Start) -> None:
+        """Takes over what may change while it runs, the address of the event stream; the rest stays."""
+        self.log.event("configuration read", bus=f"{start.bus[0]}:{start.bus[1]}")
+        self.bus.move(start.bus)
+
     def stop(self) -> None:
         """Starts the drain; `wait` returns when it is over."""
         self.stopping.set()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -428,29 +428,48 @@
 
 
 def test_the_program_serves_until_it_is_told_to_end(tmp_path):
-    nodes = [StandNode(HIT) for _ in range(6)]
-    stand = StandBus()
-    probe = StandBus()  # only for a port that is free
-    probe.close()
+    ban = {"ban": {"tag": 17, "ts": time.time() * 1000}}
+    nodes, probe = [StandNode(HIT) for _ in range(6)], StandBus()
+    probe.close()  # only for a port that is free
+    stands = [StandBus(), StandBus([OK, event(2, BAN), event(3, ban), None]), StandBus()]
     file = tmp_path / "config.json"
-    file.write_text(json.dumps(configuration([node.address for node in nodes], stand.address, probe.address)))
+    texts = [json.dumps(configuration([node.address for node in nodes], bus.address, probe.address))
+             for bus in stands]
+    file.write_text(texts[0])
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     program = subprocess.Popen([sys.executable, "-m", "mulleinrelay", "serve"], cwd=root,
                                stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(file)})
+
+    def line():
+        return json.loads(program.stderr.readline())
+
+    def purged():
+        caller.send(trace=f"{caller.count + 1:016x}")
+        assert caller.answer()[1:] == (0, {}, b"bytes")
+        return any("within" in fields for node in nodes for _, _, fields, _ in node.heard)
+
     try:
-        assert json.loads(program.stderr.readline())["phase"] == "ready"
+        assert line()["phase"] == "ready"
         host, port = probe.address.split(":")
         caller = Caller((host, int(port)))
         caller.socket.sendall(WELL)
         assert caller.answer()[:2] == (1, 0)
         caller.send(trace="00000000000000ff")
         assert caller.answer() == (1, 0, {}, b"bytes")
+        # Guards against an end by SIGHUP, a faulty file that is taken over, and events lost by the move.
+        for text, told in ((texts[1], "read"), ("{}", "kept"), (texts[2], "read")):
+            file.write_text(text)
+            program.send_signal(signal.SIGHUP)
+            assert line()["event"] == f"configuration {told}"
+            assert told == "kept" or line()["event"] == "bus reconnects"
+            assert wait_for(purged)
+        assert wait_for(lambda: stands[2].asked) and [bus.asked for bus in stands] == [[1], [1], [3]]
         program.send_signal(signal.SIGTERM)
         assert program.wait(10.0) == 0
         assert [json.loads(line)["phase"] for line in program.stderr] == ["draining", "stopped"]
     finally:
         program.kill()
-        for each in (*nodes, stand):
+        for each in (*nodes, *stands):
             each.close()
         program.stderr.close()
 
