Connections that call make no room for silent or held ones, which are ended in time

Checked: clients_most is 512, so the table was passed; front._welcome picked the first connection with nothing open, and one that was ended already stayed in the table until its thread had run and was picked again and again, so one ended connection let many in. Ruled out: links (26 of 409). Now room is made by who never called, then by the oldest call; the newcomer waits until a descriptor is free; one in 16 places is freed ahead. Ended in time: no whole call 2 s after connecting, a call that stops halfway for 3 s, no call for 6 s (usual clients close after 4 s). A link that gets no socket is unconnected, not a dead thread. Harm: a client that calls once in 6 s connects anew each time.

--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -145,9 +145,9 @@
 
     def _run(self, link: Link) -> None:
         """The thread of a link: connects, then reads until the end."""
-        outcome, why = Outcome.UNCONNECTED, ""
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        outcome, why, connection = Outcome.UNCONNECTED, "", None
         try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # none may be left
             connection.settimeout(self.connect_timeout / 1000.0)
             connection.connect(link.place.address)
             connection.settimeout(None)
@@ -188,7 +188,7 @@
                 elif not known:
                     self.log.event("unknown id", node=link.place.name, about=told.about[:32])
 
-    def _end(self, link: Link, connection: socket.socket, outcome: Outcome, why: str) -> None:
+    def _end(self, link: Link, connection: socket.socket | None, outcome: Outcome, why: str) -> None:
         with self.lock:
             ours = link.outlet.ended
             link.outlet.end()
@@ -203,7 +203,8 @@
             for held, _ in lost:
                 self.of_leg.pop(held, None)
             link.open = {}
-            connection.close()
+            if connection is not None:
+                connection.close()
             first = (lost or not ours) and link.place not in self.down
             if lost or not ours:
                 self.down[link.place] = self.down.get(link.place, 0) + len(lost)
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -19,6 +19,10 @@
 CREW_PER_MB, CREW_MOST = 2, 1024  # lookups seen through at one time: a body takes a quarter of a MB at most
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
+FIRST_CALL = 2.0  # s from connecting to the first whole call: who says nothing is owed an end within 3 s
+REST_OF_CALL = 3.0  # s from the last bytes of a call that is not whole
+IDLE = 6.0  # s without a call: clients who mean to come back close their connections themselves after 4 s
+SPARE_SHARE = 16  # one in so many places is freed before it is wanted
 TIMEVAL = struct.Struct("ll")
 
 
@@ -31,6 +35,17 @@
         self.outlet = Outlet(self.lock)
         self.outlet.connection = connection
         self.open: dict[int, Lookup] = {}
+        self.called = False  # a whole call has come
+        self.used = time.monotonic()  # when it connected, or the last whole call or answer
+        self.halfway = 0.0  # when a call began of which the rest is to come
+
+    def overstays(self, now: float) -> bool:
+        """Whether nothing is to be expected any more of one to whom nothing is owed."""
+        if not self.called:
+            late = now > self.used + FIRST_CALL
+        else:
+            late = now > self.halfway + REST_OF_CALL if self.halfway else now > self.used + IDLE
+        return late and not self.owed()
 
     def write(self, pieces: list[Piece]) -> None:
         with self.lock:
@@ -41,6 +56,7 @@
         with self.lock:
             if self.open.pop(number, None) is not None:
                 self.outlet.put(number, pieces)
+                self.used = time.monotonic()
 
     def owed(self) -> bool:
         return bool(self.open or self.outlet.queued) and not self.outlet.ended
@@ -58,6 +74,7 @@
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
         self.lock = threading.Lock()  # guards clients, crew and idle
+        self.gone = threading.Condition(self.lock)
         self.crew, self.idle = 0, 0
         self.work: queue.SimpleQueue = queue.SimpleQueue()
 
@@ -79,6 +96,14 @@
         for client in list(self.clients):
             client.end()
 
+    def sweep(self) -> None:
+        """Ends connections that say nothing, stop in the middle of a call or are held for nothing: they would
+        fill the table, and their threads the memory."""
+        now = time.monotonic()
+        for client in list(self.clients):
+            if not client.outlet.ended and client.overstays(now):
+                client.end()
+
     def owes(self) -> bool:
         return any(client.owed() for client in list(self.clients))
 
@@ -105,15 +130,18 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, TIMEVAL.pack(WRITE_WAIT, 0))
         client = Client(connection)
         with self.lock:
-            idle = None
-            if len(self.clients) >= self.clients_most:
-                idle = next((other for other in self.clients if not other.owed()), None)
-                if idle is None:
+            most = self.clients_most
+            while (here := len(self.clients)) > most - max(1, most // SPARE_SHARE):
+                idle = self._idlest()
+                if idle is not None:
+                    idle.end()
+                elif here >= most and not any(other.outlet.ended for other in self.clients):
                     connection.close()
-                    return self.log.event("client turned away", clients=len(self.clients))
+                    return self.log.event("client turned away", clients=here)
+                if here < most:
+                    break
+                self.gone.wait(0.02)  # one that is ended holds its descriptor until its thread has seen it
             self.clients[client] = None
-        if idle is not None:  # the oldest with nothing open makes room
-            idle.end()
         try:
             threading.Thread(target=self._read, args=(client,), name="client", daemon=True).start()
         except RuntimeError:
@@ -121,12 +149,21 @@
                 del self.clients[client]
             raise
 
+    def _idlest(self) -> Client | None:
+        """The connection that makes room: one with nothing open that has never called, else the one with the
+        oldest call. Guards usual clients against floods of connections that say nothing or are only held."""
+        idle = [client for client in self.clients if not client.owed() and not client.outlet.ended]
+        return min(idle, key=lambda client: (client.called, client.used), default=None)
+
     def _read(self, client: Client) -> None:
         frames = thrift.Frames()
         try:
             while (length := client.connection.recv_into(frames.room())) > 0:
+                now = time.monotonic()
                 for frame in frames.filled(length):
+                    client.called, client.used, client.halfway = True, now, 0.0
                     self._call(client, frame)
+                client.halfway = (client.halfway or now) if len(frames.intake) else 0.0
         except thrift.ThriftError as wrong:
             self.log.event("bad frame", why=str(wrong))
         except OSError:
@@ -143,6 +180,7 @@
                 client.connection.close()
             with self.lock:
                 self.clients.pop(client, None)
+                self.gone.notify()
 
     def _call(self, client: Client, frame: memoryview) -> None:
         call = thrift.read_call(frame)
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -90,6 +90,7 @@
                     self.caches.probe(node, place)
                 if self.clock() >= sweep:
                     self.caches.sweep()
+                    self.front.sweep()
                     sweep = self.clock() + SWEEP_EVERY
                 self.facade.rest(min(due, sweep))
             except Exception as broken:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -318,6 +318,49 @@
             idle.answer()
 
 
+def test_a_flood_of_connections_takes_no_place_from_those_who_call(monkeypatch):
+    # Guards against a table that one ended connection opens to many, past all descriptors.
+    monkeypatch.setattr(front, "FIRST_CALL", 0.5)
+    with Running() as director:
+        table, most = director.service.front, 0
+        table.clients_most = 8
+        held, good = [], director.caller()
+        for number in range(60):
+            held.append(director.caller())
+            if number % 2:
+                held[-1].socket.sendall(WELL)  # asks once and stays
+            good.send(trace=f"{number + 1:016x}")
+            assert good.answer()[:2] == (number + 1, 0)
+            most = max(most, len(table.clients))
+        assert most <= 8
+        silent = director.caller()
+        silent.socket.sendall(WELL[:9])
+        with pytest.raises((EOFError, ConnectionError)):
+            silent.answer()
+        good.send(trace="00000000000000ff")
+        assert good.answer()[:2] == (61, 0)
+
+
+@pytest.mark.parametrize(
+    "called, halfway, owes, after, late",
+    [
+        (False, 0.0, False, 1.5, False),
+        (False, 0.0, False, 2.5, True),
+        (False, 900.0, False, 2.5, True),  # a call that comes byte by byte
+        (True, 0.0, False, 4.5, False),
+        (True, 0.0, False, 6.5, True),
+        (True, 0.0, True, 6.5, False),
+        (True, 1003.0, False, 5.0, False),
+        (True, 1003.0, False, 6.5, True),
+    ],
+)
+def test_who_overstays(called, halfway, owes, after, late):
+    client = front.Client(None)
+    client.called, client.halfway, client.used = called, halfway, 1000.0
+    client.open = {1: None} if owes else {}
+    assert client.overstays(1000.0 + after) == late
+
+
 def test_more_legs_than_a_connection_carries_open_further_ones():
     with Running(lambda fields: None, allowed={"mayDuplicate": False}) as director:
         caller = director.caller()
