The thread whose call moved a lookup sees it through: no crew, no hand-over between threads

Checked: not the nodes (no leg full or lost), not memory or descriptors; each lookup woke two further threads (work queue, then Life.bell on each report) and a Condition was made for each. Facade.pick no longer blocks: it gives the next step, or nothing where another thread is at the lookup; client, link and clock threads do what their own call brought about. The bound on open lookups is 8 for each MB (a thread each is gone) and what is over it the module pushes back, with when to come back.

--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -1,8 +1,10 @@
-"""The decision module in blocking style: pick, report, tick.
+"""The decision module for the network code: pick, report, tick.
 
 The only code that knows the module's calls and its Writer. One lock guards the module and the state of every
 lookup; nothing here touches a socket. A lookup has one life: it is taken, picked for until its verdict, and
-whoever comes second (a late answer, the client's leaving, a timer) finds it ended.
+whoever comes second (a late answer, the client's leaving, a timer) finds it ended. The thread whose call
+moved a lookup picks for it until there is nothing to do; only one thread does at a time, so that all that is
+done for a lookup is done in order and its verdict comes last.
 """
 
 import heapq
@@ -52,15 +54,16 @@
 class Life:
     """A lookup that is not over: what is to be done for it, and its verdict."""
 
-    def __init__(self, lock: threading.Lock) -> None:
-        self.bell = threading.Condition(lock)
+    __slots__ = ("steps", "verdict", "holder")
+
+    def __init__(self, holder: int) -> None:
         self.steps: deque[Order | GiveUp] = deque()
         self.verdict: Verdict | None = None
+        self.holder = holder  # the thread that picks for it; 0: none
 
     def settle(self, verdict: Verdict) -> None:
         if self.verdict is None:
             self.verdict = verdict
-            self.bell.notify_all()
 
 
 class Facade:
@@ -76,41 +79,38 @@
         self.probes: list[tuple[Member, Place]] = []
         self.called_off: list[Leg] = []
         self.calls: list[tuple[str, tuple[Any, ...]]] = []
-        self.taken = 0
         self.director = Director(clock(), seed, terms)
 
     # For the network code: lookups
 
     def take(self, use_case: UseCase, key: int, part: int, group: int, size: float, left: float,
-             repeated: bool) -> Lookup:
-        """A lookup has come; from now on `pick` tells what to do for it."""
+             repeated: bool, ticket: Any = None, room: bool = True) -> Lookup:
+        """A lookup has come; the caller now picks for it, and until then nobody else does. Where there is no
+        room to see it through, the module ends it at once."""
         now = self.clock()
         with self.lock:
-            self.taken += 1
-            lookup = Lookup(self.taken, use_case, key, part, group, size, now, now + left, repeated)
-            self.lives[lookup] = Life(self.lock)
-            self._play("looked_up", lookup)
+            lookup = Lookup(ticket, use_case, key, part, group, size, now, now + left, repeated)
+            self.lives[lookup] = Life(threading.get_ident())
+            self._set_timer(left + ANSWER_SLACK, "overdue", lookup)
+            self._play("looked_up" if room else "woken", lookup)
         return lookup
 
-    def pick(self, lookup: Lookup) -> Order | GiveUp | Verdict:
-        """Blocks until there is something to do for the lookup; a verdict comes last, and once."""
+    def pick(self, lookup: Lookup) -> Order | GiveUp | Verdict | None:
+        """What is to be done next for the lookup; a verdict comes last, and once. None where nothing is to be
+        done, or where another thread is at it, which picks what has come meanwhile."""
         with self.lock:
-            life = self.lives[lookup]
-            while True:
-                while life.steps:
-                    step = life.steps.popleft()
-                    if isinstance(step, GiveUp) or (life.verdict is None and step.leg.outcome is None):
-                        return step
-                if life.verdict is not None:
-                    del self.lives[lookup]
-                    return life.verdict
-                left = lookup.until + ANSWER_SLACK - self.clock()
-                if left <= 0.0:  # the module gave none; its client must not wait in vain
-                    self.log_to.event("overdue", legs=len(lookup.legs))
-                    life.settle(BrokenOff())
-                    self._play("end", lookup)
-                else:
-                    life.bell.wait(left / 1000.0)
+            life, here = self.lives.get(lookup), threading.get_ident()
+            if life is None or life.holder not in (0, here):
+                return None
+            life.holder = here
+            while life.steps:
+                step = life.steps.popleft()
+                if isinstance(step, GiveUp) or (life.verdict is None and step.leg.outcome is None):
+                    return step
+            life.holder = 0
+            if life.verdict is not None:
+                del self.lives[lookup]
+            return life.verdict
 
     def report(self, leg: Leg, outcome: Outcome, note: Note = Note.NONE, waited: float = 0.0,
                load: dict[str, float] | None = None, answer: Any = None) -> None:
@@ -132,11 +132,13 @@
         with self.lock:
             self.lives.pop(lookup, None)
 
-    def wind_up(self) -> None:
-        """The final answer at once for all that is open."""
+    def wind_up(self) -> list[Lookup]:
+        """The final answer at once for all that is open; to be picked for."""
         with self.lock:
-            for lookup in [lookup for lookup, life in self.lives.items() if life.verdict is None]:
+            still = [lookup for lookup, life in self.lives.items() if life.verdict is None]
+            for lookup in still:
                 self._play("woken", lookup)
+        return still
 
     def open_lookups(self) -> int:
         return len(self.lives)
@@ -173,20 +175,31 @@
         with self.lock:
             self._play("told", node, load)
 
-    def tick(self) -> tuple[float, list[tuple[Member, Place]]]:
-        """Runs the timers that are due; gives when to call again, and the nodes to be probed."""
+    def tick(self) -> tuple[float, list[tuple[Member, Place]], list[Lookup]]:
+        """Runs the timers that are due; gives when to call again, the nodes to be probed, and the lookups to
+        be picked for."""
         with self.lock:
-            now = self.clock()
+            now, moved = self.clock(), {}
             while self.timers and self.timers[0][0] <= now:
                 _, _, what, about = heapq.heappop(self.timers)
+                lookup = about if isinstance(about, Lookup) else about.lookup
+                if (life := self.lives.get(lookup)) is None:
+                    continue
                 if what == "timeout":
                     if about.outcome is None:
                         self._call_off(about)
                         self._ended(about, Outcome.TIMEOUT, Note.NONE, 0.0, None, None)
-                elif not (about.ended if isinstance(about, Lookup) else about.outcome is not None):
+                elif what == "overdue":
+                    if life.verdict is None:  # the module gave none; its client must not wait in vain
+                        self.log_to.event("overdue", legs=len(lookup.legs))
+                        life.settle(BrokenOff())
+                        self._play("end", lookup)
+                elif not (about.ended if lookup is about else about.outcome is not None):
                     self._play("woken", about)
+                if life.steps or life.verdict is not None:
+                    moved[lookup] = None
             probes, self.probes = self.probes, []
-            return self.timers[0][0] if self.timers else now + 1000.0, probes
+            return self.timers[0][0] if self.timers else now + 1000.0, probes, list(moved)
 
     def rest(self, until: float) -> None:
         """Blocks until then, or until an earlier timer or a probe is wanted."""
@@ -236,7 +249,6 @@
                 life.steps.remove(waiting)
             else:
                 life.steps.append(GiveUp(leg))
-                life.bell.notify_all()
 
     def _set_timer(self, delay: float, what: str, about: Lookup | Leg) -> None:
         due = self.clock() + delay
@@ -255,7 +267,6 @@
             return
         life.steps.append(Order(leg, self.places[leg.node], self.places[source].name if source else "",
                                 max_age, rank, join, held_only, parent_keeps, renew))
-        life.bell.notify_all()
         self._set_timer(leg.timeout, "timeout", leg)
 
     def abandon(self, leg: Leg) -> None:
--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -129,7 +129,7 @@
 
 @dataclass(slots=True, eq=False)
 class Lookup:
-    ticket: int  # the caller's own, for the way back
+    ticket: Any  # the caller's own, for the way back
     use_case: UseCase
     key: int
     part: int
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -10,10 +10,11 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from ..configuration import REPORT_WORDS
 from ..facade import Facade
-from ..interface import Asked, Leg, Node, Order, Outcome, Place
+from ..interface import Asked, Leg, Lookup, Node, Order, Outcome, Place
 from ..log import Log
 from . import resp
 from .outlet import Outlet
@@ -50,6 +51,7 @@
     def __init__(self, facade: Facade, clock: Callable[[], float], log: Log, connect_timeout: float,
                  idle_for: float, legs_a_connection: int, links_most: int) -> None:
         self.facade, self.clock, self.log = facade, clock, log
+        self.see_through: Callable[[Lookup], None] = lambda lookup: None  # set by the front
         self.connect_timeout, self.idle_for = connect_timeout, idle_for
         self.legs_a_connection, self.links_most = legs_a_connection, links_most
         self.lock = threading.Lock()
@@ -104,7 +106,7 @@
                                           or now > link.used + IDLE_SHARE * self.idle_for):
                         link.outlet.end()
         for leg in stuck:
-            self.facade.report(leg, Outcome.UNCONNECTED)
+            self._report(leg, Outcome.UNCONNECTED)
 
     def stop(self) -> None:
         with self.lock:
@@ -129,7 +131,12 @@
                     self.of_leg[held] = (link, about)
                 link.outlet.put(about, pieces)
         if link is None and isinstance(held, Leg):
-            self.facade.report(held, Outcome.UNCONNECTED)
+            self._report(held, Outcome.UNCONNECTED)
+
+    def _report(self, leg: Leg, *how: Any) -> None:
+        """Tells how a leg went, and does what follows from it."""
+        self.facade.report(leg, *how)
+        self.see_through(leg.lookup)
 
     def _connect(self, place: Place, links: list[Link], now: float) -> Link | None:
         """Under the lock. A new link, or None where no thread is to be had for it."""
@@ -184,7 +191,7 @@
                     self.facade.told(held.node, told.load)
                 elif held is not None:  # a probe's word on a leg is an error of the node
                     outcome = Outcome.ERROR if told.outcome is None else told.outcome
-                    self.facade.report(held, outcome, told.note, told.waited, told.load, told)
+                    self._report(held, outcome, told.note, told.waited, told.load, told)
                 elif not known:
                     self.log.event("unknown id", node=link.place.name, about=told.about[:32])
 
@@ -211,4 +218,4 @@
         if first:  # one line until it is up again, not one a leg
             self.log.event("link down", node=link.place.name, lost=len(lost), why=why or "closed")
         for held, unbegun in lost:
-            self.facade.report(held, Outcome.UNCONNECTED if unbegun else outcome)
+            self._report(held, Outcome.UNCONNECTED if unbegun else outcome)
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -1,14 +1,14 @@
-"""Clients: connections that bring lookups, and the crew that sees each lookup through to its one answer."""
+"""Clients: connections that bring lookups, each of which is seen through to its one answer."""
 
 import errno
-import queue
 import socket
 import struct
 import threading
 import time
+from dataclasses import dataclass
 
 from ..configuration import Start
-from ..facade import BrokenOff, Facade, GiveUp, Left, PushedBack, Satisfied
+from ..facade import BrokenOff, Facade, GiveUp, PushedBack, Satisfied, Verdict
 from ..interface import RECEIPTED, Asked, Lookup, Order
 from ..log import Log
 from . import thrift
@@ -16,7 +16,7 @@
 from .outlet import Outlet, Piece
 
 BACKLOG = 1024
-CREW_PER_MB, CREW_MOST = 2, 1024  # lookups seen through at one time: a body takes a quarter of a MB at most
+LOOKUPS_PER_MB = 8  # open at one time: each takes some KB, and a body that it brings 48 at most
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
 FIRST_CALL = 2.0  # s from connecting to the first whole call: who says nothing is owed an end within 3 s
@@ -66,17 +66,25 @@
             self.outlet.end()
 
 
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """Whose lookup it is, by which number, and as worded."""
+
+    client: Client
+    number: int
+    asked: Asked
+
+
 class Front:
     def __init__(self, start: Start, facade: Facade, caches: Caches, log: Log, clients_most: int) -> None:
         self.start, self.facade, self.caches, self.log = start, facade, caches, log
-        self.clients_most, self.crew_most = clients_most, min(CREW_MOST, int(CREW_PER_MB * start.memory_mb))
+        self.clients_most, self.lookups_most = clients_most, int(LOOKUPS_PER_MB * start.memory_mb)
         self.well = False
         self.listener: socket.socket | None = None
         self.clients: dict[Client, None] = {}
-        self.lock = threading.Lock()  # guards clients, crew and idle
+        self.lock = threading.Lock()  # guards clients
         self.gone = threading.Condition(self.lock)
-        self.crew, self.idle = 0, 0
-        self.work: queue.SimpleQueue = queue.SimpleQueue()
+        caches.see_through = self.see_through
 
     def begin(self) -> None:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -175,7 +183,7 @@
             with client.lock:
                 left, client.open = list(client.open.values()), {}
             for lookup in left:
-                self.facade.forget(lookup)
+                self._forget(lookup)
             with client.lock:
                 client.connection.close()
             with self.lock:
@@ -192,7 +200,7 @@
                 with client.lock:
                     lookup = client.open.pop(number, None)
                 if lookup is not None:
-                    self.facade.forget(lookup)
+                    self._forget(lookup)
             elif call.method == "isWell":
                 client.write(thrift.answer("isWell", call.number, b"", {}, self.well))
             else:
@@ -215,63 +223,48 @@
             raise thrift.ThriftError("no receipt")
         if call.number in client.open:  # only this thread adds to it
             raise thrift.ThriftError(f"the number {call.number} is open already")
-        if not self._reserve():  # no leg has gone
-            return client.write(thrift.pushed_back(call.number, 0.0))
-        left = min(asked.left, use_case.client_timeout)
-        lookup = self.facade.take(use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
-                                  left, asked.repeated)
+        lookup = self.facade.take(
+            use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
+            min(asked.left, use_case.client_timeout), asked.repeated, Ticket(client, call.number, asked),
+            room=self.facade.open_lookups() < self.lookups_most)
         with client.lock:
             client.open[call.number] = lookup
-        self.work.put((client, call.number, lookup, asked))
+        self.see_through(lookup)
 
-    def _reserve(self) -> bool:
-        """Whether one of the crew is there for a further lookup, hired for it if need be."""
-        with self.lock:
-            if self.idle > 0:
-                self.idle -= 1
-                return True
-            if self.crew >= self.crew_most:
-                return False
-            try:
-                threading.Thread(target=self._crew, name="crew", daemon=True).start()
-            except RuntimeError as broken:
-                self.log.fault("crew", broken)
-                return False
-            self.crew += 1
-            return True
-
-    def _crew(self) -> None:
-        while True:
-            client, number, lookup, asked = self.work.get()
-            try:
-                self._see_through(client, number, lookup, asked)
-            except Exception as broken:
-                self.log.fault("crew", broken)
-                self.facade.drop(lookup)
-                client.answer(number, thrift.broken_off(number))
-            client = lookup = asked = None  # what was received may go
-            with self.lock:
-                self.idle += 1
+    def _forget(self, lookup: Lookup) -> None:
+        self.facade.forget(lookup)
+        self.see_through(lookup)
 
-    def _see_through(self, client: Client, number: int, lookup: Lookup, asked: Asked) -> None:
-        while True:
-            step = self.facade.pick(lookup)
-            if isinstance(step, Order):
-                self.caches.send(step, asked)
-            elif isinstance(step, GiveUp):
-                self.caches.give_up(step.leg)
-            elif isinstance(step, Satisfied):
-                told = step.answer
-                fields = {"ok304": "1"} if told.kept else {}
-                body = b"" if told.kept else told.body
-                client.answer(number, thrift.answer("serve", number, body, fields, True))
-                return self._bound_unread(client) if client.outlet.queued else None
-            elif isinstance(step, PushedBack):
-                return client.answer(number, thrift.pushed_back(number, step.come_back))
-            elif isinstance(step, BrokenOff):
-                return client.answer(number, thrift.broken_off(number))
-            elif isinstance(step, Left):
-                return None
+    def see_through(self, lookup: Lookup) -> None:
+        """Does what is to be done for a lookup, in the thread whose call moved it."""
+        ticket: Ticket | None = lookup.ticket
+        try:
+            while ticket is not None and (step := self.facade.pick(lookup)) is not None:
+                self._do(step, ticket)
+                if isinstance(step, Verdict):
+                    lookup.ticket = None  # timers may hold the lookup for a while, but not what it brought
+        except Exception as broken:
+            self.log.fault("see through", broken)
+            self.facade.drop(lookup)
+            ticket.client.answer(ticket.number, thrift.broken_off(ticket.number))
+
+    def _do(self, step: Order | GiveUp | Verdict, ticket: Ticket) -> None:
+        client, number = ticket.client, ticket.number
+        if isinstance(step, Order):
+            self.caches.send(step, ticket.asked)
+        elif isinstance(step, GiveUp):
+            self.caches.give_up(step.leg)
+        elif isinstance(step, Satisfied):
+            told = step.answer
+            fields = {"ok304": "1"} if told.kept else {}
+            body = b"" if told.kept else told.body
+            client.answer(number, thrift.answer("serve", number, body, fields, True))
+            if client.outlet.queued:
+                self._bound_unread(client)
+        elif isinstance(step, PushedBack):
+            client.answer(number, thrift.pushed_back(number, step.come_back))
+        elif isinstance(step, BrokenOff):
+            client.answer(number, thrift.broken_off(number))
 
     def _bound_unread(self, client: Client) -> None:
         """Ends the connection of one who does not read, where too much of the memory waits for such."""
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -69,7 +69,8 @@
             if since >= COMING and not self.facade.open_lookups() and not self.front.owes():
                 break
             if since >= end - LAST_ANSWERS:
-                self.facade.wind_up()
+                for lookup in self.facade.wind_up():
+                    self.front.see_through(lookup)
             time.sleep(0.02)
         self.front.stop()
         self.bus.stop()
@@ -85,7 +86,9 @@
         sweep = self.clock() + SWEEP_EVERY
         while not self.ended.is_set():
             try:
-                due, probes = self.facade.tick()
+                due, probes, moved = self.facade.tick()
+                for lookup in moved:
+                    self.front.see_through(lookup)
                 for node, place in probes:
                     self.caches.probe(node, place)
                 if self.clock() >= sweep:
