An id is taken once, 32 lookups a connection, bad calls end it; early withdrawals doubt no link

Lines at fault: caches.give_up put a link in doubt for any leg withdrawn before a word came, so hundreds withdrawn at once opened a link each until links_most, and what then found no link was reported as unconnected, for which the module shuns the node; front._serve took the same id again and again, and any number of lookups on a connection. Now an id that was used in the last 5 s or more, a lookup over 32, and a second one under an open number are application exceptions (in the last case what was open there is dropped, so that one answer goes out); nine bad calls in a row end a connection with nothing open; a withdrawn leg puts its link in doubt only after the connect time-out; a leg for which no link can be had is moot. Lines of one event are bounded to 20 a second. A connection is ended as idle only if nothing was taken on it meanwhile. Harm: a client that repeats ids.

--- a/mulleinrelay/log.py
+++ b/mulleinrelay/log.py
@@ -10,23 +10,29 @@
 import orjson
 
 WAITING_MOST = 1000  # lines
+ALIKE_MOST = 20  # lines a second of one event: clients that send what can't be read write the log otherwise
 
 
 class Log:
     def __init__(self, name: str = "", descriptor: int = 2) -> None:
         self.name, self.descriptor = name, descriptor
         self.lines: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
-        self.dropped = 0
+        self.dropped, self.second = 0, 0
+        self.written: dict[str, int] = {}  # lines of each event in this second
         self.thread = threading.Thread(target=self._write, name="log", daemon=True)
         self.thread.start()
 
     def event(self, what: str, **figures: object) -> None:
-        if self.lines.qsize() >= WAITING_MOST:
+        now = time.time()
+        if int(now) != self.second:
+            self.second, self.written = int(now), {}
+        alike = self.written[what] = self.written.get(what, 0) + 1
+        if alike > ALIKE_MOST or self.lines.qsize() >= WAITING_MOST:
             self.dropped += 1
             return
         if self.dropped:
             figures["dropped"], self.dropped = self.dropped, 0
-        line = {"at": round(time.time(), 3), "director": self.name, "event": what, **figures}
+        line = {"at": round(now, 3), "director": self.name, "event": what, **figures}
         self.lines.put(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
 
     def fault(self, where: str, broken: BaseException) -> None:
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -72,10 +72,11 @@
             link, about = self.of_leg.pop(leg, (None, ""))
             if link is None or link.open.pop(about, None) is None:
                 return
-            if link.heard < leg.sent:
-                link.given_up = link.given_up or self.clock()
+            now = self.clock()
+            if link.heard < leg.sent and now > leg.sent + self.connect_timeout:  # sooner, it tells nothing
+                link.given_up = link.given_up or now
             if not link.outlet.withdraw(about):
-                link.over[about] = self.clock()
+                link.over[about] = now
                 link.outlet.put(None, [resp.kill(about)])
 
     def probe(self, node: Node, place: Place, with_report: bool = True) -> None:
@@ -131,7 +132,7 @@
                     self.of_leg[held] = (link, about)
                 link.outlet.put(about, pieces)
         if link is None and isinstance(held, Leg):
-            self._report(held, Outcome.UNCONNECTED)
+            self._report(held, Outcome.MOOT)  # no connection to be had here: no word about the node
 
     def _report(self, leg: Leg, *how: Any) -> None:
         """Tells how a leg went, and does what follows from it."""
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -16,6 +16,9 @@
 from .outlet import Outlet, Piece
 
 BACKLOG = 1024
+OPEN_MOST = 32  # lookups open on one connection
+MARKS_PER_MB, MARKS_FOR = 100, 5.0  # ids that are kept, for so many seconds at the least
+BAD_MOST = 8  # calls in a row that can't be used, after which the connection is ended
 LOOKUPS_PER_MB = 8  # open at one time: each takes some KB, and a body that it brings 48 at most
 WRITE_WAIT = 6  # s that a client may take to read on before its connection is ended
 UNREAD_SHARE = 0.2  # of the memory: more that clients have not read ends the connection of the last to add
@@ -34,8 +37,9 @@
         self.lock = threading.Lock()  # guards `open` and the outlet
         self.outlet = Outlet(self.lock)
         self.outlet.connection = connection
-        self.open: dict[int, Lookup] = {}
+        self.open: dict[int, Lookup | None] = {}  # None: not yet the module's
         self.called = False  # a whole call has come
+        self.bad = 0  # calls that can't be used since the last that can
         self.used = time.monotonic()  # when it connected, or the last whole call or answer
         self.halfway = 0.0  # when a call began of which the rest is to come
 
@@ -61,9 +65,10 @@
     def owed(self) -> bool:
         return bool(self.open or self.outlet.queued) and not self.outlet.ended
 
-    def end(self) -> None:
+    def end(self, only_idle: bool = False) -> None:
         with self.lock:
-            self.outlet.end()
+            if not only_idle or not self.owed():
+                self.outlet.end()
 
 
 @dataclass(slots=True, eq=False)
@@ -77,6 +82,9 @@
 
 class Front:
     def __init__(self, start: Start, facade: Facade, caches: Caches, log: Log, clients_most: int) -> None:
+        self.marks: set[str] = set()  # ids of lookups, which are new with each, also with a client's retry
+        self.older: set[str] = set()
+        self.marks_most, self.marks_since = int(MARKS_PER_MB * start.memory_mb), time.monotonic()
         self.start, self.facade, self.caches, self.log = start, facade, caches, log
         self.clients_most, self.lookups_most = clients_most, int(LOOKUPS_PER_MB * start.memory_mb)
         self.well = False
@@ -110,7 +118,7 @@
         now = time.monotonic()
         for client in list(self.clients):
             if not client.outlet.ended and client.overstays(now):
-                client.end()
+                client.end(only_idle=True)
 
     def owes(self) -> bool:
         return any(client.owed() for client in list(self.clients))
@@ -142,7 +150,7 @@
             while (here := len(self.clients)) > most - max(1, most // SPARE_SHARE):
                 idle = self._idlest()
                 if idle is not None:
-                    idle.end()
+                    idle.end(only_idle=True)
                 elif here >= most and not any(other.outlet.ended for other in self.clients):
                     connection.close()
                     return self.log.event("client turned away", clients=here)
@@ -171,6 +179,8 @@
                 for frame in frames.filled(length):
                     client.called, client.used, client.halfway = True, now, 0.0
                     self._call(client, frame)
+                    if client.bad > BAD_MOST and not client.open:
+                        raise thrift.ThriftError(f"{client.bad} bad calls in a row")
                 client.halfway = (client.halfway or now) if len(frames.intake) else 0.0
         except thrift.ThriftError as wrong:
             self.log.event("bad frame", why=str(wrong))
@@ -181,7 +191,7 @@
         finally:
             client.end()
             with client.lock:
-                left, client.open = list(client.open.values()), {}
+                left, client.open = [lookup for lookup in client.open.values() if lookup is not None], {}
             for lookup in left:
                 self._forget(lookup)
             with client.lock:
@@ -207,6 +217,7 @@
                 client.write(thrift.application_exception(call.method, call.number, thrift.UNKNOWN_METHOD,
                                                           "unknown method"))
         except thrift.ThriftError as wrong:
+            client.bad += 1
             self.log.event("bad call", method=call.method, why=str(wrong))
             if call.kind == thrift.CALL:
                 client.write(thrift.application_exception(call.method, call.number, thrift.PROTOCOL_ERROR,
@@ -222,7 +233,22 @@
         if use_case.repeat == RECEIPTED and not asked.receipt:
             raise thrift.ThriftError("no receipt")
         if call.number in client.open:  # only this thread adds to it
+            with client.lock:
+                first = client.open.pop(call.number, None)
+            if first is not None:  # one answer under one number: whose would it be?
+                self._forget(first)
             raise thrift.ThriftError(f"the number {call.number} is open already")
+        if len(client.open) >= OPEN_MOST:
+            raise thrift.ThriftError(f"more than {OPEN_MOST} lookups are open")
+        with client.lock:
+            if client.outlet.ended:  # not taken: the client sends it again on a new connection
+                return
+            client.open[call.number] = None
+        if not self._mark(asked.mark):
+            with client.lock:
+                del client.open[call.number]
+            raise thrift.ThriftError("the id was used before")
+        client.bad = 0
         lookup = self.facade.take(
             use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
             min(asked.left, use_case.client_timeout), asked.repeated, Ticket(client, call.number, asked),
@@ -231,6 +257,18 @@
             client.open[call.number] = lookup
         self.see_through(lookup)
 
+    def _mark(self, mark: str) -> bool:
+        """Whether an id is new. Guards against what comes again at full speed, and against nodes that take
+        one lookup for another; harms only a client that breaks the protocol."""
+        with self.lock:
+            if mark in self.marks or mark in self.older:
+                return False
+            now = time.monotonic()
+            if now > self.marks_since + MARKS_FOR or len(self.marks) >= self.marks_most:
+                self.older, self.marks, self.marks_since = self.marks, set(), now
+            self.marks.add(mark)
+            return True
+
     def _forget(self, lookup: Lookup) -> None:
         self.facade.forget(lookup)
         self.see_through(lookup)
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -17,7 +17,8 @@
 INT, UINT, SHORT = struct.Struct(">i"), struct.Struct(">I"), struct.Struct(">h")
 STOP = b"\0"
 TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}", re.ASCII)  # what may go on in a leg's list of fields unchanged
-HEX = re.compile(r"[0-9a-fA-F]{1,16}", re.ASCII)
+HEX = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
+GROUP_MOST = 255
 NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 
@@ -170,10 +171,13 @@
             raise ThriftError(f"the field {name} cannot be read")
         return value
 
+    group = int(read("batch", NUMBER, "0"))
+    if group > GROUP_MOST:
+        raise ThriftError("the field batch is out of range")
     return Asked(
-        use_case=read("route", TOKEN), mark=read("trace", TOKEN), object=read("entity", HEX),
+        use_case=read("route", TOKEN), mark=read("trace", HEX), object=read("entity", HEX),
         part=read("nth", NUMBER, "0"), receipt=read("nonce", TOKEN, ""), tag=read("got", TOKEN, ""),
-        body=body, left=float(read("patience", DECIMAL)), group=int(read("batch", NUMBER, "0")),
+        body=body, left=float(read("patience", DECIMAL)), group=group,
         size=float(read("size", DECIMAL, "0")), repeated="redo" in fields)
 
 
