Resets count once a break, errors only where another node could give what was asked

Checked: one spoilt answer ends a link with some ten legs on it, and policy.learn marked the node 2.0 for each; errors followed what bad clients asked for (ids no node knows), by the same objects at every node. Ruled out: the nodes (no refused connection), CPU (0.3 of 0.85 in the worst second). Now a break counts 1.0 once, as a node that died is unconnected (2.0) next; an error is blamed when another node then satisfies the lookup, and two errors end a lookup. Covers also resets of idle or new connections. Harm: a lone cache that fails on everything is not shunned, as nobody shows that it could be done; a node whose process dies is shunned one leg later. The module and the facade keep nothing of nodes that have gone.

--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -165,6 +165,9 @@
                 for name, member in self.nodes.items():
                     self.places[member].gone |= name not in named
             self._play("listed", rows, whole, False)
+            for name, member in list(self.nodes.items()):  # those that have gone would add up with time
+                if self.places[member].gone and member not in self.director.members:
+                    del self.nodes[name], self.places[member]
 
     def purged(self, key: int, group: int, at: float) -> None:
         with self.lock:
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -1,8 +1,7 @@
 """All decisions of one director.
 
-The caller makes a Director at a start and calls `round(now, inbox, out)` with all that came in: `inbox` holds
-tuples that name one of the methods under "What comes in" with its arguments, and decisions go to `out` at
-once. The shared types and the Writer stand in interface.py; Member is the module's own Node.
+The caller makes a Director and calls `round(now, inbox, out)`: `inbox` holds tuples that name one of the
+methods under "What comes in" with its arguments, and decisions go to `out` at once (types: interface.py).
 """
 
 import math
@@ -30,7 +29,7 @@
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_QUICK, QUICK = 0.3, 0.25  # a further leg's cost after one that ended within that part of its work
-AGAIN_EARNED, AGAIN_MOST = 0.15, 8.0  # further legs each lookup earns, and how many may be saved up
+AGAIN_EARNED, AGAIN_MOST, ERRORS_MOST = 0.15, 8.0, 2  # legs a lookup earns, saved at most; errors it may have
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
@@ -85,7 +84,7 @@
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
         self.health = Histogram(HALF_USUAL)  # bin 0: good outcomes, bin 1: bad ones
         self.late = Histogram(HALF_RECENT)  # hits: time beyond their sending time, in percent of it
-        self.heard, self.quiet = 0.0, 0.0  # last sign of life, and signs of silence since
+        self.heard, self.quiet, self.lost = 0.0, 0.0, 0.0  # last word, signs of silence since, last break
         self.shunned, self.trial_due = False, 0.0
         self.out: dict[Leg, None] = {}
         self.spent: list[tuple[float, float]] = []  # what this director sent it while cold
@@ -108,7 +107,7 @@
 class Director:
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
-        self.members: dict[Member, None] = {}  # all that were ever listed
+        self.members: dict[Member, None] = {}  # all that are listed
         self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
         self.counts: dict[tuple[int, int], int] = {}
         self.older: dict[tuple[int, int], int] = {}
@@ -144,12 +143,12 @@
         if whole:
             for member in self.members:
                 member.state = State.GONE
-        for member, state, share, kind, zone, cell, started in rows:
-            if started != member.started or member not in self.members:
+        for member, *row in rows:
+            if row[-1] != member.started or member not in self.members:
                 member.reset()
-            member.state, member.share, member.kind = state, share, kind
-            member.zone, member.cell, member.started = zone, cell, started
+            member.state, member.share, member.kind, member.zone, member.cell, member.started = row
             self.members[member] = None
+        self.members = {member: None for member in self.members if member.state != State.GONE or member.out}
         ready = [member for member in self.members if member.state == State.READY]
         kinds = (self.terms.parent_kind, self.terms.origin_kind)
         self.caches = [m for m in ready if m.kind not in kinds and m.zone == self.terms.zone]
@@ -202,7 +201,8 @@
 
     def route(self, lookup: Lookup) -> None:
         """Sends the next leg, or ends the lookup where none is left that may go."""
-        if len(lookup.legs) >= self.terms.legs_most or not self.may_send(lookup):
+        failed = sum(leg.outcome == Outcome.ERROR for leg in lookup.legs)
+        if len(lookup.legs) >= self.terms.legs_most or failed >= ERRORS_MOST or not self.may_send(lookup):
             return self.give_up(lookup)
         if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
             cost = AGAIN_QUICK if self.now - lookup.legs[-1].sent < QUICK * self.work(lookup) else 1.0
@@ -390,18 +390,16 @@
         return at > max(self.now - BELIEF_AGE, self.purge_moment(lookup))
 
     def trial(self, member: Member) -> bool:
-        due = self.now >= member.trial_due and self.trials >= 1.0
-        if due:
+        if due := self.now >= member.trial_due and self.trials >= 1.0:
             member.trial_due, self.trials = self.now + TRIAL_EVERY, self.trials - 1.0
         return due
 
     def delay(self, member: Member) -> float:
         """The smoothed delay; an unmeasured member gets the average of the measured."""
-        mean = member.recent.mean(self.now)
-        if mean is None:
-            means = [mean for other in self.members if (mean := other.recent.mean(self.now)) is not None]
-            return sum(means) / len(means) if means else 0.0
-        return mean
+        if (mean := member.recent.mean(self.now)) is not None:
+            return mean
+        means = [mean for other in self.members if (mean := other.recent.mean(self.now)) is not None]
+        return sum(means) / len(means) if means else 0.0
 
     # The guards
 
@@ -483,6 +481,8 @@
             self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
             self.mark(node, 0.0, "")
+            for other in [other for other in leg.lookup.legs if other.outcome == Outcome.ERROR]:
+                self.blame(other, "error")  # only now: what no node can give is the client's fault
             work = self.work(leg.lookup)
             if note == Note.HIT:
                 node.late.add(self.now, 100.0 * (wait - work) / max(work, LEAST_WORK))
@@ -499,10 +499,11 @@
                 self.mark(source, 0.0, "")
             return
         held.pop(node, None)
-        if outcome in (Outcome.UNCONNECTED, Outcome.RESET):
-            self.mark(node, 2.0, outcome.name.lower())
-        elif outcome == Outcome.ERROR:
-            self.blame(leg, "error")
+        if outcome == Outcome.UNCONNECTED:
+            self.mark(node, 2.0, "unconnected")
+        elif outcome == Outcome.RESET and leg.sent > node.lost:  # once a break: a spoilt answer takes along
+            node.lost = self.now  # all that is out on its link, and a node that died is unconnected next
+            self.mark(node, 1.0, "reset")
         if source in (None, node) or outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if note == Note.SOURCE_LACKS or (outcome == Outcome.MISS and note == Note.NONE):
@@ -528,10 +529,9 @@
 
     def mark(self, member: Member, bad: float, why: str) -> None:
         member.health.age(self.now)
-        bins = member.health.bins
-        bins[1 if bad else 0] += bad or 1.0
-        if bins[0] + bins[1] > HEALTH_MOST:
-            member.health.bins = [weight * 0.5 for weight in bins]
+        member.health.bins[1 if bad else 0] += bad or 1.0
+        if sum(member.health.bins) > HEALTH_MOST:
+            member.health.bins = [weight * 0.5 for weight in member.health.bins]
         self.judge(member, why)
 
     def sign_of_life(self, member: Member) -> None:
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -6,7 +6,7 @@
 
 from mulleinrelay import wire
 from mulleinrelay.facade import BrokenOff, GiveUp, Left, Order, PushedBack, Satisfied
-from mulleinrelay.interface import Note, Outcome
+from mulleinrelay.interface import Listing, Note, Outcome, State
 from mulleinrelay.net import resp
 from mulleinrelay.wirehost import Instance
 
@@ -187,8 +187,21 @@
 
 def test_a_node_that_a_whole_list_leaves_out_is_gone():
     stage = Stage()
+    before = stage.facade.places[stage.facade.nodes["s-01"]]
     stage.facade.listed(stage.entries[1:], True)
-    assert [place.gone for place in stage.facade.places.values()] == [True] + [False] * 5
+    assert before.gone and not any(place.gone for place in stage.facade.places.values())
+
+
+def test_nothing_is_kept_of_nodes_that_have_gone():
+    # Guards against memory that grows with every node that is replaced, in the facade and in the module.
+    stage, entry = Stage(), None
+    for number in range(50):
+        gone, entry = entry, Listing(f"s-5{number}", ("127.0.0.1", 9), State.READY, 4.0, 0, 1, 0, 0.0)
+        if gone is not None:
+            gone.state = State.GONE
+        stage.facade.listed([entry] + ([gone] if gone else []), False)
+        stage.until_verdict(stage.take(left=0.0))
+    assert len(stage.facade.nodes) == len(stage.facade.places) == len(stage.facade.director.members) == 7
 
 
 class Calls:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -120,6 +120,36 @@
     assert silent.shunned
 
 
+@pytest.mark.parametrize(
+    "outcome, another, weight",
+    [
+        (Outcome.RESET, None, 1.0),  # of all that was out on one link, once
+        (Outcome.UNCONNECTED, None, 6.0),
+        (Outcome.ERROR, None, 0.0),
+        (Outcome.ERROR, Outcome.ERROR, 0.0),  # what no node can give: the lookup's own fault
+        (Outcome.ERROR, Outcome.SATISFIED, 3.0),
+    ],
+)
+def test_bad_outcomes_weigh_by_what_they_tell_of_the_node(outcome, another, weight):
+    """Clients that ask for what no node knows, and spoilt answers, had healthy caches shunned."""
+    fleet = Fleet()
+    cache = fleet.caches[0]
+    lookups = []
+    while len(lookups) < 3:
+        lookup = fleet.look_up()
+        if lookup.legs[0].node is cache:
+            lookups.append(lookup)
+        else:
+            fleet.answer(lookup.legs[0])
+    for lookup in lookups:
+        lookup.legs[0].bag = True  # a hit was due, so that no source shares the blame
+        fleet.answer(lookup.legs[0], outcome, Note.NONE)
+        if another is not None:
+            fleet.answer(lookup.legs[1], another)
+    assert cache.health.bins[1] == weight
+    assert all(lookup.ended for lookup in lookups) or another is None
+
+
 @pytest.mark.parametrize("broken, well", [("parents", "caches"), ("caches", "parents")])
 def test_the_member_that_all_bad_legs_share_is_shunned_and_the_others_are_not(broken, well):
     """A failing parent shows as errors at every cache; without split blame the caches were shunned for it."""
