A link quiet with legs out is asked for an echo and ended where none comes

Checked by a trace of the legs given up after 600 ms: some 20 legs share a connection that brought its last word at one moment, while node and source answer on others; nothing waits in the outlet. Ruled out: slow nodes, a slow director. Lines at fault: Caches had no notion of a link of no more use; Link.takes went on giving it legs, and policy.check holds a leg well while its node is heard on any connection. Now a link that brought no whole answer for 120 ms with legs out is asked ECHO; without a whole answer 200 ms later it is ended and all on it is told at once. Covers also nodes that hang or vanish, answers that never end or stop halfway, lengths that are wrong. Harm: an echo that takes over 200 ms; where probes are not allowed nothing is asked.

--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -21,6 +21,7 @@
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
+QUIET, ECHO_WAIT = 120.0, 200.0  # ms without an answer, legs out, at which a link is asked; then to its end
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
 
@@ -38,18 +39,25 @@
         self.outlet = Outlet(lock)
         self.open: dict[str, Leg | Probe] = {}
         self.over: dict[str, float] = {}  # given up here; a late answer may still come
+        self.asked = 0.0  # when it was asked whether it still brings answers
         self.given_up = 0.0  # when a leg was given up with nothing heard since it was sent
 
     def takes(self, about: str, most: int) -> bool:
         return (not self.outlet.ended and len(self.open) < most and about not in self.open
-                and about not in self.over and not self.given_up)
+                and about not in self.over and not self.given_up and not self.asked)
+
+    def quiet_since(self) -> float | None:
+        """Since when legs have been out with nothing heard; None where there are none."""
+        first = next((leg.sent for leg in self.open.values() if isinstance(leg, Leg)), None)
+        return None if first is None or self.outlet.connection is None else max(first, self.heard)
 
 
 class Caches:
     """All links of one director."""
 
     def __init__(self, facade: Facade, clock: Callable[[], float], log: Log, connect_timeout: float,
-                 idle_for: float, legs_a_connection: int, links_most: int) -> None:
+                 idle_for: float, legs_a_connection: int, links_most: int, may_probe: bool) -> None:
+        self.may_probe = may_probe
         self.facade, self.clock, self.log = facade, clock, log
         self.see_through: Callable[[Lookup], None] = lambda lookup: None  # set by the front
         self.connect_timeout, self.idle_for = connect_timeout, idle_for
@@ -83,6 +91,20 @@
         tag = f"probe-{next(self.tags)}"
         self._put(place, tag, Probe(node, self.clock()), [resp.probe(tag, with_report)])
 
+    def ask(self) -> None:
+        """Asks links that have been quiet with legs out for an echo, and ends those that bring none: all that
+        is open there is told at once. Guards against connections that stay open and are of no more use, after
+        an answer that was spoilt, cut, endless or never came; harms where an echo takes over ECHO_WAIT."""
+        now = self.clock()
+        with self.lock:
+            living = [link for links in self.links.values() for link in links if not link.outlet.ended]
+            for link in living if self.may_probe else ():
+                if link.asked and now > link.asked + ECHO_WAIT:
+                    link.outlet.end()
+                elif not link.asked and (since := link.quiet_since()) is not None and now > since + QUIET:
+                    link.asked = now
+                    link.outlet.put(None, [resp.probe(f"probe-{next(self.tags)}", with_report=False)])
+
     def sweep(self) -> None:
         """Closes what has long been idle, is gone or silent, forgets probes that nobody answered, and takes
         back legs of which nothing could be written for as long as connecting may take: they never ran, and
@@ -184,7 +206,7 @@
                 with self.lock:
                     held = link.open.pop(told.about, None)
                     link.used = link.heard = self.clock()
-                    link.given_up = 0.0
+                    link.given_up = link.asked = 0.0
                     known = held is not None or told.about in link.over or told.about.startswith("probe-")
                     if isinstance(held, Leg):
                         self.of_leg.pop(held, None)
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -12,7 +12,7 @@
 from .front import Front
 
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
-SWEEP_EVERY = 250.0
+SWEEP_EVERY, ASK_EVERY = 250.0, 50.0
 COMING = 1.0  # s after the call to stop in which clients still come
 LONGEST_WAIT, SPARE = 3.0, 0.7  # s: the platform waits for the longest client timeout or this, and for this
 LAST_ANSWERS, WRITTEN = 0.5, 0.2  # s before the platform's end: all that is open gets its final answer; exit
@@ -33,7 +33,7 @@
         self.stopping, self.ended = threading.Event(), threading.Event()
         self.facade = Facade(self.clock, start.seed, start.terms, log)
         self.caches = Caches(self.facade, self.clock, log, start.connect_timeout, start.idle_for,
-                             start.legs_a_connection, int(LINKS_SHARE * start.sockets))
+                             start.legs_a_connection, int(LINKS_SHARE * start.sockets), start.terms.may_probe)
         self.front = Front(start, self.facade, self.caches, log, int(CLIENTS_SHARE * start.sockets))
         self.bus = Bus(start, self.facade, log)
 
@@ -83,7 +83,7 @@
         self.log.event("phase", phase=phase.value, open=self.facade.open_lookups())
 
     def _keep_time(self) -> None:
-        sweep = self.clock() + SWEEP_EVERY
+        sweep = ask = self.clock()
         while not self.ended.is_set():
             try:
                 due, probes, moved = self.facade.tick()
@@ -91,11 +91,14 @@
                     self.front.see_through(lookup)
                 for node, place in probes:
                     self.caches.probe(node, place)
-                if self.clock() >= sweep:
+                if (now := self.clock()) >= ask:
+                    self.caches.ask()
+                    ask = now + ASK_EVERY
+                if now >= sweep:
                     self.caches.sweep()
                     self.front.sweep()
-                    sweep = self.clock() + SWEEP_EVERY
-                self.facade.rest(min(due, sweep))
+                    sweep = now + SWEEP_EVERY
+                self.facade.rest(min(due, sweep, ask))
             except Exception as broken:
                 self.log.fault("clock", broken)
                 self.ended.wait(0.05)  # should it go on, the others still get the core
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -246,6 +246,10 @@
             each.close()
 
 
+def MUTE(fields):  # noqa: N802
+    """A plan: answers nothing, an echo neither."""
+
+
 class StandNode(Listener):
     """A cache, parent or the origin: answers each PULL as its `plan` says, and keeps what it was told."""
 
@@ -262,6 +266,8 @@
                 self.heard.append((word.decode(), about.decode(), fields, rest[1] if rest else b""))
                 if word == b"PULL":
                     self.answer(connection, about, fields)
+                elif word == b"ECHO" and self.plan is not MUTE:
+                    connection.sendall(resp.command(about, b"FIT", b"-"))
 
     def answer(self, connection, about, fields):
         plan = self.plan(fields) if callable(self.plan) else self.plan
@@ -270,6 +276,10 @@
             connection.close()
         elif plan == "nonsense":
             connection.sendall(b"+what\r\n")
+        elif plan == "cut":
+            connection.sendall(resp.command(about, b"DONE", b"-", bytes(900))[:-400])
+            while connection.recv(4096):  # stays open and says no more
+                pass
         elif plan is not None:
             connection.sendall(resp.command(about, *plan))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from helpers import Caller, Running, StandBus, StandNode, call_frame, configuration, wait_for
+from helpers import MUTE, Caller, Running, StandBus, StandNode, call_frame, configuration, wait_for
 
 from mulleinrelay.facade import Facade
 from mulleinrelay.interface import Leg, Outcome
@@ -126,6 +126,31 @@
                 stalled.answer()
 
 
+@pytest.mark.parametrize("plan", ["cut", MUTE])
+def test_a_connection_of_no_more_use_is_ended_and_what_is_open_on_it_goes_elsewhere(plan):
+    # Guards against lookups that wait out their time on a connection that stays open after a bad answer.
+    with Running() as director:
+        caller, bad = director.caller(), director.nodes[:3]
+        caller.send(entity="00000000000000cd")
+        caller.answer()
+        first = next(node for node in bad if node.heard)
+        first.plan = plan
+        begun = time.monotonic()
+        caller.send(entity="00000000000000cd")
+        assert caller.answer()[:2] == (2, 0) and time.monotonic() - begun < 2.0
+        assert len(director.heard()) == 3
+        assert "link down" in director.sink.events
+
+
+def test_a_link_that_echoes_keeps_its_slow_legs():
+    with Running(None) as director:
+        caller = director.caller()
+        caller.send("pay", patience="1500")
+        assert wait_for(lambda: director.heard("ECHO"))
+        assert caller.answer()[:2] == (1, 2)
+        assert len(director.heard()) == 1 and "link down" not in director.sink.events
+
+
 def test_what_waits_for_a_link_can_be_taken_back_while_nothing_of_it_is_written():
     ours, theirs = socket.socketpair()
     outlet = Outlet(threading.Lock())
