--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -5,8 +5,11 @@
 """
 
 import errno
+import fcntl
 import itertools
+import math
 import socket
+import termios
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,7 +24,8 @@
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
-QUIET, ECHO_WAIT = 120.0, 200.0  # ms without an answer, legs out, at which a link is asked; then to its end
+QUIET, QUIET_LEAST = 600.0, 100.0  # ms by 1 + legs out: so long without an answer, a link is asked for an echo
+ECHO_WAIT = 100.0  # ms from then to its end
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
 
@@ -46,10 +50,16 @@
         return (not self.outlet.ended and len(self.open) < most and about not in self.open
                 and about not in self.over and not self.given_up and not self.asked)
 
-    def quiet_since(self) -> float | None:
-        """Since when legs have been out with nothing heard; None where there are none."""
+    def unread(self) -> bool:
+        """Whether bytes have come that are not read yet: this director may be the one that is late."""
+        here = bytearray(4)
+        fcntl.ioctl(self.outlet.connection, termios.FIONREAD, here)
+        return any(here)
+
+    def quiet_since(self) -> float:
+        """Since when legs have been out with nothing heard."""
         first = next((leg.sent for leg in self.open.values() if isinstance(leg, Leg)), None)
-        return None if first is None or self.outlet.connection is None else max(first, self.heard)
+        return math.inf if first is None or self.outlet.connection is None else max(first, self.heard)
 
 
 class Caches:
@@ -99,9 +109,11 @@
         with self.lock:
             living = [link for links in self.links.values() for link in links if not link.outlet.ended]
             for link in living if self.may_probe else ():
-                if link.asked and now > link.asked + ECHO_WAIT:
+                if link.asked and now > link.asked + ECHO_WAIT * (2.0 if link.unread() else 1.0):
                     link.outlet.end()
-                elif not link.asked and (since := link.quiet_since()) is not None and now > since + QUIET:
+                    continue
+                quiet = max(QUIET / (1 + len(link.open)), QUIET_LEAST)  # the more are out, the sooner one comes
+                if not link.asked and now > link.quiet_since() + quiet:
                     link.asked = now
                     link.outlet.put(None, [resp.probe(f"probe-{next(self.tags)}", with_report=False)])
 
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -12,7 +12,7 @@
 from .front import Front
 
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
-SWEEP_EVERY, ASK_EVERY = 250.0, 50.0
+SWEEP_EVERY, ASK_EVERY = 250.0, 25.0
 COMING = 1.0  # s after the call to stop in which clients still come
 LONGEST_WAIT, SPARE = 3.0, 0.7  # s: the platform waits for the longest client timeout or this, and for this
 LAST_ANSWERS, WRITTEN = 0.5, 0.2  # s before the platform's end: all that is open gets its final answer; exit
