--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -24,7 +24,7 @@
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
-QUIET, QUIET_LEAST = 600.0, 100.0  # ms by 1 + legs out: so long without an answer, a link is asked for an echo
+QUIET, QUIET_LEAST = 600.0, 100.0  # ms by 1 + legs out: without an answer so long, a link is asked
 ECHO_WAIT = 100.0  # ms from then to its end
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
@@ -112,7 +112,7 @@
                 if link.asked and now > link.asked + ECHO_WAIT * (2.0 if link.unread() else 1.0):
                     link.outlet.end()
                     continue
-                quiet = max(QUIET / (1 + len(link.open)), QUIET_LEAST)  # the more are out, the sooner one comes
+                quiet = max(QUIET / (1 + len(link.open)), QUIET_LEAST)  # of many, one comes sooner
                 if not link.asked and now > link.quiet_since() + quiet:
                     link.asked = now
                     link.outlet.put(None, [resp.probe(f"probe-{next(self.tags)}", with_report=False)])
