--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -24,7 +24,7 @@
 
 IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
-QUIET, QUIET_LEAST = 600.0, 100.0  # ms by 1 + legs out: without an answer so long, a link is asked
+QUIET, QUIET_LEAST = 1500.0, 100.0  # ms by 1 + legs out: without an answer so long, a link is asked
 ECHO_WAIT = 100.0  # ms from then to its end
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
