--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,7 +14,7 @@
 from mulleinrelay.facade import Facade
 from mulleinrelay.interface import Leg, Outcome
 from mulleinrelay.log import Log
-from mulleinrelay.net import bus, front, service
+from mulleinrelay.net import bus, caches, front, service
 from mulleinrelay.net.caches import Link
 from mulleinrelay.net.outlet import Outlet
 
@@ -128,8 +128,9 @@
 
 
 @pytest.mark.parametrize("plan", ["cut", MUTE])
-def test_a_connection_of_no_more_use_is_ended_and_what_is_open_on_it_goes_elsewhere(plan):
+def test_a_connection_of_no_more_use_is_ended_and_what_is_open_on_it_goes_elsewhere(plan, monkeypatch):
     # Guards against lookups that wait out their time on a connection that stays open after a bad answer.
+    monkeypatch.setattr(caches, "QUIET", 100.0)  # before the module's own timer
     with Running() as director:
         caller, bad = director.caller(), director.nodes[:3]
         caller.send(entity="00000000000000cd")
