A first try that waits less than its goal takes the parent with the least delay

Checked by a trace of what was pushed back: the clients give 50 to 500 ms, less than the goal; most legs are misses on their way through the hashed parent, others were heard meanwhile. Ruled out: a crowd, lost answers, a late director.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -17,8 +17,7 @@
 TRIAL_EARNED, TRIALS_MOST = 0.05, 2.0  # trials each lookup earns, so that hundreds of directors swamp nothing
 ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
-HALF_RECENT, HALF_USUAL = 2000.0, 16000.0  # halving times of the smoothed delay and of a member's usual level
-HALF_BEHIND = 4000.0  # the same of the origin's delay, which one director sees about once a second
+HALF_RECENT, HALF_USUAL, HALF_BEHIND = 2000.0, 16000.0, 4000.0  # halving times: delay, usual, origin's delay
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
@@ -276,9 +275,8 @@
         taken, pushed = self.taken.bins[:2]
         if self.pushing != (pushed > (PUSHED_SHARE / 2 if self.pushing else PUSHED_SHARE) * taken):
             self.pushing = not self.pushing
-            word = "pushing back" if self.pushing else "taking all again"
-            self.out.log(f"{word}: {pushed:.0f} of {taken:.0f} lookups, link {self.link:.1f} crowded, "
-                         f"origin {self.behind.middle(self.now):.0f} ms")
+            self.out.log(f"{('taking all again', 'pushing back')[self.pushing]}: {pushed:.0f} of {taken:.0f} "
+                         f"lookups, link {self.link:.1f}, origin {self.behind.middle(self.now):.0f} ms")
 
     def end(self, lookup: Lookup) -> None:
         lookup.ended = True
@@ -353,6 +351,8 @@
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
             return self.origin, False
         ranked = self.by_hash([m for m in self.parents if m not in tried], lookup.key, lookup.part)
+        if not lookup.repeated and lookup.until - self.now < self.goal_left(lookup) - GUARD:
+            ranked.sort(key=self.delay)  # waits less than its goal: a near parent may do; harms by copies
         source = self.choose_outside(self.fit(ranked, work))
         if cache is None or source is None:
             return source or cache, False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -92,6 +92,18 @@
         assert 0.0 < age <= fleet.now - 100000.0 + 40.0
 
 
+@pytest.mark.parametrize("left, near", [(6000.0, False), (200.0, True)])
+def test_a_client_that_waits_less_than_its_goal_gets_the_nearest_parent(left, near):
+    """Clients with little time were pushed back at the end of it, their fills on the way from afar."""
+    fleet = Fleet()
+    for parent, delay in zip(fleet.parents, (60.0, 30.0), strict=True):
+        for _ in range(5):
+            parent.recent.add(fleet.now, delay)
+            parent.usual.add(fleet.now, delay)
+    sources = {fleet.look_up(left=left).legs[0].source for _ in range(20)} - {fleet.origin}
+    assert sources == ({fleet.parents[1]} if near else set(fleet.parents))
+
+
 def test_a_believed_sibling_is_the_source_and_asked_only_for_what_it_holds():
     fleet = Fleet()
     first = fleet.look_up(key=5)
