--- /dev/null
+++ b/mulleinrelay/cells/charter.py
@@ -0,0 +1,100 @@
+"""What an assignment file says, as plain data. No decision stands here.
+
+Times are Unix milliseconds, spans milliseconds, rates lookups a second. Names are compared as written.
+"""
+
+from dataclasses import dataclass, field
+
+FORM = 1  # of the file; a newer one is not read
+TABLE, RENDEZVOUS = "table", "rendezvous"
+TO_DEFAULT, PUSH_BACK = "default_tenant", "push_back"
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bounds at each director; 0 stands for no bound of its own."""
+
+    rate: float = 0.0  # lookups a second
+    burst: float = 0.0  # lookups that may come at once beyond the rate; 0: what the rate brings in 100 ms
+    open_most: float = 0.0  # lookups open at one time
+    body_kb: float = 0.0  # KB of bodies that open lookups brought
+    retries: float = 0.2  # clients' retries for each first try
+    connections: int = 0  # of the tenant's address ranges
+
+
+@dataclass(slots=True, frozen=True)
+class Cell:
+    name: str
+    weight: float = 1.0
+    caches: tuple[str, ...] = ()  # by name; none: by hash, from those that no cell names
+    shuffle: int = 0  # caches of each tenant, by its own hash; 0: all of the cell's
+    neighbours: tuple[str, ...] = ()  # where its tenants go when it is lost, in this order
+    reserve: float = 0.0  # part of each neighbour's bounds that they may take together
+    return_for: float = 10_000.0  # over so long they come back
+    limits: Limits = field(default_factory=Limits)
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    name: str
+    cell: str = ""  # empty: by hash
+    weight: float = 1.0
+    addresses: tuple[str, ...] = ()  # CIDR ranges
+    groups: tuple[tuple[int, int], ...] = ()  # of objects, both ends included
+    limits: Limits = field(default_factory=Limits)
+
+
+@dataclass(slots=True, frozen=True)
+class Move:
+    """Tenants on their way from one cell to another."""
+
+    name: str
+    tenants: tuple[str, ...]
+    source: str
+    target: str
+    starts: float
+    warm_for: float
+    shift_for: float
+    drain_for: float
+    warm_share: float = 0.05
+    held_at: float = 0.0  # 0: not held
+    aborted_at: float = 0.0  # 0: not aborted
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """Limits that go to one cell first, then on by waves."""
+
+    name: str
+    canary: str
+    waves: tuple[tuple[str, ...], ...]
+    starts: float
+    wave_for: float
+    limits: Limits
+    drop_most: float = 0.03  # of the satisfied share, beyond what the other cells lose
+    slower_most: float = 1.5  # times its own past, beyond the same of the other cells
+    taken_back: bool = False  # by staff
+
+
+@dataclass(slots=True, frozen=True)
+class Charter:
+    """One version of the assignment."""
+
+    version: int
+    written: float
+    cells: dict[str, Cell]
+    tenants: dict[str, Tenant]
+    moves: dict[str, Move] = field(default_factory=dict)
+    releases: dict[str, Release] = field(default_factory=dict)
+    limits: Limits = field(default_factory=Limits)  # of tenants that set none
+    how: str = RENDEZVOUS
+    load_bound: float = 1.25
+    default_tenant: str = ""
+    unknown: str = TO_DEFAULT
+    spread: float = 5_000.0  # within so long of its writing every director has read a version
+    skew: float = 500.0  # by which clocks of directors and of who writes may differ
+    horizon: float = 12_000.0  # a client's last retry comes so long after its first try at the latest
+
+
+class CharterError(Exception):
+    """What an assignment file may not say; the text names the key."""
--- /dev/null
+++ b/mulleinrelay/cells/governor.py
@@ -0,0 +1,317 @@
+"""All that cells decide at one director: whose lookup, which cell and pool, and whether there is room for it.
+
+Pure: time is passed in, nodes are opaque. The decision module still picks the node, of the pool given here.
+What is turned away here has cost no round of the module.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..interface import PURE, RECEIPTED, Pool, UseCase
+from . import moves, releases
+from .charter import Charter, Limits
+from .limits import FairPace, Lane, Pace, Retries, Share, Shares, Width, advice
+from .naming import Naming
+from .placement import Nowhere, Placement
+from .reserve import Guests
+
+ACCOUNTS_MOST = 20_000
+BODY_SLOT = 16.0  # KB of a body that count as one more open lookup
+WIDTH_LEAST = 4.0
+LOST_WAIT = 1_000.0
+STEP_EVERY = 200.0
+
+
+@dataclass(slots=True, frozen=True)
+class Board:
+    """What the director itself has."""
+
+    open_most: float  # lookups open
+    rate: float = 0.0  # lookups a second that it can bear; 0: not bounded here
+    come_back_most: float = 5_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Asking:
+    """What tells whose lookup it is and how it may be repeated."""
+
+    told: str
+    address: str
+    group: int
+    key: int
+    use_case: UseCase
+    receipt: str = ""
+    repeated: bool = False
+    body: int = 0  # bytes
+
+
+@dataclass(slots=True, eq=False)
+class Denied:
+    """Turned away. `harmless`: nothing of it can have run, so it is pushed back; else it is broken off."""
+
+    why: str
+    come_back: float
+    harmless: bool
+
+
+class Account:
+    """One tenant at this director."""
+
+    __slots__ = ("limits", "pace", "retries", "body", "share", "denied", "granted", "used")
+
+    def __init__(self, limits: Limits) -> None:
+        self.renew(limits)
+        self.body, self.denied, self.granted, self.used = 0.0, 0, 0, 0.0
+
+    def renew(self, limits: Limits) -> None:
+        self.limits = limits
+        self.pace, self.retries = Pace(limits.rate, limits.burst), Retries(limits.retries)
+
+
+class Room:
+    """One cell at this director: its width, its tenants' shares of that, and its rate."""
+
+    def __init__(self, board: Board, limits: Limits) -> None:
+        self.rates = FairPace(limits.rate)
+        self.limits = limits
+        most = min(board.open_most, limits.open_most or board.open_most)
+        self.width = Width(min(WIDTH_LEAST, most), most)
+        self.shares = Shares(most)
+        self.guests: dict[str, Guests] = {}
+        self.good, self.total, self.denied = 0, 0, 0
+
+
+@dataclass(slots=True, eq=False)
+class Grant:
+    """Room for one lookup, to be settled once."""
+
+    tenant: str
+    cell: str
+    pool: Pool
+    amount: float
+    body: float
+    account: Account
+    room: Room
+    share: Share
+    cell_share: Share
+    guests: Guests | None
+    settled: bool = field(default=False)
+
+
+class Governor:
+    def __init__(self, now: float, charter: Charter, board: Board, may_pass_by: bool) -> None:
+        self.board = board
+        self.accounts: dict[str, Account] = {}
+        self.rooms: dict[str, Room] = {}
+        self.cells = Shares(board.open_most)
+        self.rates = FairPace(board.rate)
+        self.courses: dict[str, releases.Course] = {}
+        self.placement = Placement(charter, may_pass_by)
+        self.unknown = Account(charter.limits)  # whose lookups name no tenant of ours
+        self.stages: dict[str, moves.Stage] = {}
+        self.step_due = 0.0
+        self._take_over(now, charter)
+
+    # What changes
+
+    def renew(self, now: float, charter: Charter) -> list[str]:
+        """A new version of the file is in force; gives words for the log. Raises CharterError, and then the old
+        one stays. Accounts, widths and receipts are kept."""
+        naming = Naming(charter)
+        words = self.placement.renew(now, charter)
+        self._take_over(now, charter, naming)
+        return [f"version {charter.version}: {len(charter.cells)} cells, {len(charter.tenants)} tenants", *words]
+
+    def _take_over(self, now: float, charter: Charter, naming: Naming | None = None) -> None:
+        self.charter, self.naming = charter, naming or Naming(charter)
+        self.courses = {name: self.courses.get(name) or releases.Course(release)
+                        for name, release in charter.releases.items()}
+        for name, course in self.courses.items():
+            course.release = charter.releases[name]
+        for name, cell in charter.cells.items():
+            room = self.rooms.get(name)
+            if room is None or room.limits != cell.limits:
+                self.rooms[name] = self._renewed(room, cell.limits)
+        self.rooms = {name: self.rooms[name] for name in charter.cells}
+        self._renew_accounts()
+        self.stages = {name: self.stages.get(name, moves.Stage.PLANNED) for name in charter.moves}
+
+    def _renewed(self, old: Room | None, limits: Limits) -> Room:
+        room = Room(self.board, limits)
+        if old is not None:  # what is open stays counted where it was taken
+            old.rates.renew(limits.rate)
+            old.limits, old.width = limits, room.width
+            old.shares.width = room.shares.width
+            return old
+        return room
+
+    def _renew_accounts(self) -> None:
+        for name, account in self.accounts.items():
+            limits = self._limits(name)
+            if limits != account.limits:
+                account.renew(limits)
+
+    def _limits(self, tenant: str) -> Limits:
+        known = self.charter.tenants.get(tenant)
+        own = known.limits if known is not None else self.charter.limits
+        return releases.in_force(self.courses, self.placement.homes.get(tenant, ""), own)
+
+    def listed(self, now: float, caches: Iterable[tuple[str, Any, float]]) -> list[str]:
+        """The ready caches of this location have changed: name, node, warmth."""
+        return self.placement.listed(now, caches)
+
+    def step(self, now: float) -> list[str]:
+        """Releases and moves go on by the clock; gives words for the log. To be called some times a second."""
+        words = []
+        for name, move in self.charter.moves.items():
+            if (stage := moves.stage(move, now)) != self.stages[name]:
+                self.stages[name] = stage
+                share = moves.shifted(move, now)
+                words.append(f"move {name} {stage.value}: {share:.2f} of {move.source} in {move.target}")
+        for name, course in self.courses.items():
+            if word := course.step(now):
+                words.append(f"release {name} {word}, wave {course.wave} of {len(course.release.waves)}")
+                self._renew_accounts()
+        return words
+
+    # One lookup
+
+    def welcome(self, address: str, held: int) -> bool:
+        """Whether one more connection from an address may come, where its tenant holds so many."""
+        tenant = self.naming.of_address(address)
+        most = self._limits(tenant).connections if tenant else 0
+        return not most or held < most
+
+    def admit(self, now: float, asking: Asking) -> Grant | Denied:
+        tenant = self.naming.tenant(asking.told, asking.address, asking.group)
+        if tenant is None:
+            self.unknown.denied += 1
+            return self._denied(asking, "unknown tenant", LOST_WAIT)
+        account = self.accounts.get(tenant) or self._open_account(tenant)
+        account.used = now
+        retry = asking.repeated and asking.use_case.repeat == PURE
+        if wait := account.pace.wait(now):
+            return self._deny(account, asking, "rate of the tenant", wait)
+        if retry and not account.retries.may():
+            return self._deny(account, asking, "retries of the tenant", LOST_WAIT)
+        spot = self.placement.spot(now, tenant, asking.key, asking.use_case, asking.receipt, asking.repeated)
+        if isinstance(spot, Nowhere):
+            account.denied += 1
+            harmless = spot != Nowhere.UNPROVEN and self._harmless(asking)
+            return Denied(spot.value, advice(LOST_WAIT, self.board.come_back_most), harmless)
+        room, cell = self.rooms[spot.cell], self.charter.cells[spot.cell]
+        weight = self.charter.tenants[tenant].weight
+        body = asking.body / 1024.0
+        amount = 1.0 + body / BODY_SLOT
+        lane, own_lane = self.rates.lane(cell.name, cell.weight), self._lane(room, tenant, weight)
+        wait = self.rates.wait(lane, now) or (room.rates.wait(own_lane, now) if room.rates.rate else 0.0)
+        if wait:
+            return self._deny(account, asking, "rate of the cell", wait, room)
+        if account.limits.body_kb and account.body + body > account.limits.body_kb:
+            return self._deny(account, asking, "bodies of the tenant", LOST_WAIT, room)
+        cell_share = self.cells.party(cell.name, cell.weight)
+        share = room.shares.party(tenant, weight, account.limits.open_most)
+        room.width.used(room.shares.open + amount)
+        if not room.shares.may(share, now, amount):
+            return self._deny(account, asking, "share of the tenant", 0.0, room)
+        if not self.cells.may(cell_share, now, amount):
+            return self._deny(account, asking, "share of the cell", 0.0, room)
+        guests = None
+        if spot.guest_of:
+            guests = room.guests.setdefault(spot.guest_of, Guests())
+            home, host = self.charter.cells[spot.guest_of], self.placement.standings[spot.cell]
+            rate = room.rates.rate or (self.rates.part(lane) if self.rates.rate else 0.0)
+            if wait := guests.wait(now, home.reserve, host.warmth(), room.width.now_most, rate):
+                return self._deny(account, asking, "reserve of the neighbour", wait, room)
+            guests.take(now)
+        self._take(now, account, room, lane, own_lane, retry)
+        room.shares.take(share, amount)
+        self.cells.take(cell_share, amount)
+        account.body += body
+        self.placement.note(now, tenant, asking.receipt, asking.use_case, spot)
+        return Grant(tenant, spot.cell, spot.pool, amount, body, account, room, share, cell_share, guests)
+
+    def settle(self, now: float, grant: Grant, good: bool, owed: bool, delay: float) -> str:
+        """The lookup is over; `good`: satisfied, `owed`: its client still waited, `delay`: ms, its sending time
+        aside. Gives a word where the cell's width has shrunk."""
+        if grant.settled:
+            return ""
+        grant.settled = True
+        room, amount = grant.room, grant.amount
+        room.shares.give(grant.share, amount)
+        self.cells.give(grant.cell_share, amount)
+        grant.account.body = max(0.0, grant.account.body - grant.body)
+        if grant.guests is not None:
+            grant.guests.give()
+        if owed:
+            room.total += 1
+            room.good += good
+            for course in self.courses.values():
+                course.saw(now, grant.cell, good, delay)
+        if good and room.width.saw(now, delay):
+            room.shares.width = room.width.now_most
+            return f"cell {grant.cell} narrowed to {room.width.now_most:.0f} lookups open"
+        room.shares.width = room.width.now_most
+        return ""
+
+    def _take(self, now: float, account: Account, room: Room, lane: Lane, own_lane: Lane, retry: bool) -> None:
+        account.pace.take(now)
+        account.granted += 1
+        if retry:
+            account.retries.take()
+        else:
+            account.retries.first()
+        self.rates.take(lane, now)
+        if room.rates.rate:
+            room.rates.take(own_lane, now)
+
+    def _lane(self, room: Room, tenant: str, weight: float) -> Lane:
+        if not room.limits.rate and self.rates.rate:  # the cell's part of the director's rate, shared by tenants
+            room.rates.renew(self.rates.rate)
+        return room.rates.lane(tenant, weight)
+
+    def _open_account(self, tenant: str) -> Account:
+        if len(self.accounts) >= ACCOUNTS_MOST:  # the least lately used half goes; what is open is in the grants
+            kept = sorted(self.accounts.items(), key=lambda held: held[1].used)[ACCOUNTS_MOST // 2:]
+            self.accounts = dict(kept)
+        account = self.accounts[tenant] = Account(self._limits(tenant))
+        return account
+
+    def _deny(self, account: Account, asking: Asking, why: str, wait: float, room: Room | None = None) -> Denied:
+        account.denied += 1
+        if room is not None:
+            room.denied += 1
+        return self._denied(asking, why, wait)
+
+    def _denied(self, asking: Asking, why: str, wait: float) -> Denied:
+        return Denied(why, advice(wait, self.board.come_back_most), self._harmless(asking))
+
+    def _harmless(self, asking: Asking) -> bool:
+        """Whether a client that is pushed back may come again: no leg of this lookup has gone out, but what it
+        repeats may have run."""
+        case = asking.use_case
+        return not asking.repeated or case.repeat == PURE or (case.repeat == RECEIPTED and case.group == "all")
+
+    # For staff
+
+    def status(self, now: float) -> dict[str, Any]:
+        """Cells, moves and releases as this director has them; plain figures."""
+        held = self.placement
+        return {
+            "version": self.charter.version, "at": round(now), "open": self.cells.open,
+            "unknown_denied": self.unknown.denied,
+            "cells": {name: {
+                "caches": held.by_cell[name] if held.caches else [], "lost": held.standings[name].lost,
+                "home_share": round(held.standings[name].home_share(now), 3),
+                "warmth": round(held.standings[name].warmth(), 3), "open": room.shares.open,
+                "width": round(room.width.now_most, 1), "satisfied": room.good, "settled": room.total,
+                "denied": room.denied} for name, room in self.rooms.items()},
+            "moves": {name: {"stage": moves.stage(move, now).value, "share": round(moves.shifted(move, now), 4),
+                             "from": move.source, "to": move.target}
+                      for name, move in self.charter.moves.items()},
+            "releases": {name: {"phase": course.phase().value, "wave": course.wave, "why": course.taken_back,
+                                "cells": sorted(course.since)} for name, course in self.courses.items()},
+            "tenants": {name: {"home": held.homes.get(name, ""), "granted": account.granted,
+                               "denied": account.denied}
+                        for name, account in sorted(self.accounts.items(), key=lambda one: -one[1].denied)[:50]}}
--- /dev/null
+++ b/mulleinrelay/cells/moves.py
@@ -0,0 +1,127 @@
+"""The course of a move: what share of its tenants' objects has gone over, from the file and the clock alone.
+
+    planned -> warm -> shift -> drain -> done          abort from warm, shift or drain: back -> aborted
+
+In `warm` the share rises slowly to `warm_share`, in `shift` to 1. Objects go one by one in the order of their
+hash, so that directors whose clocks differ by a little differ in a few objects only, and what has gone over stays
+over. The old cell's caches fill misses as siblings until `done`, and take what the new ones may not be sent.
+On the way back the share falls as fast as it rose in `shift`, as the old caches may have dropped what they held.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .assignment import SCALE, mixed
+from .charter import Move
+
+SALT = 0x6D6F7665  # so that the objects that go first are not those that a cache ranks first
+HEAD_ROOM = 0.8  # part of the receiving caches' capacity that a move may fill
+SHIFT_LEAST = 2_000.0
+
+
+class Stage(StrEnum):
+    PLANNED = "planned"
+    WARM = "warm"
+    SHIFT = "shift"
+    DRAIN = "drain"
+    DONE = "done"
+    BACK = "back"
+    ABORTED = "aborted"
+
+
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """What the receiving caches see of a move: lookups a second, their present load and capacity together in
+    the same unit, what a fill costs beside a hit (1), the share of hits once warm, and the objects asked for."""
+
+    rate: float
+    load: float
+    capacity: float
+    fill_cost: float
+    hit_share: float
+    objects: float
+
+
+def _rises(move: Move, now: float) -> float:
+    """The share while nothing holds or aborts it."""
+    since = now - move.starts
+    if since <= 0.0:
+        return 0.0
+    if since < move.warm_for:
+        return move.warm_share * since / move.warm_for
+    warmed = move.warm_share if move.warm_for > 0.0 else 0.0
+    since -= move.warm_for
+    return warmed + (1.0 - warmed) * since / move.shift_for if since < move.shift_for else 1.0
+
+
+def _frozen(move: Move, now: float) -> float:
+    return min(now, move.held_at) if move.held_at else now
+
+
+def _back_for(move: Move) -> float:
+    return max(move.shift_for, 1.0)
+
+
+def shifted(move: Move, now: float) -> float:
+    """The share of objects that stand in the new cell, 0 to 1."""
+    if not move.aborted_at or now < move.aborted_at:
+        return _rises(move, _frozen(move, now))
+    reached = _rises(move, _frozen(move, move.aborted_at))
+    return max(0.0, reached - (now - move.aborted_at) / _back_for(move))
+
+
+def done_at(move: Move) -> float:
+    return move.starts + move.warm_for + move.shift_for + move.drain_for
+
+
+def stage(move: Move, now: float) -> Stage:
+    if move.aborted_at and now >= move.aborted_at:
+        if _frozen(move, move.aborted_at) >= done_at(move):
+            return Stage.DONE  # too late to go back by an abort; a new move takes them back
+        return Stage.BACK if shifted(move, now) > 0.0 else Stage.ABORTED
+    at = _frozen(move, now) - move.starts
+    for name, span in ((Stage.PLANNED, 0.0), (Stage.WARM, move.warm_for), (Stage.SHIFT, move.shift_for),
+                       (Stage.DRAIN, move.drain_for)):
+        at -= span
+        if at < 0.0:
+            return name
+    return Stage.DONE
+
+
+def over(move: Move, key: int, share: float) -> bool:
+    """Whether an object stands in the new cell when that share has gone over."""
+    return mixed(key, SALT) / SCALE < share
+
+
+def under_way(move: Move, now: float) -> bool:
+    """Whether both cells still have a part in it."""
+    return stage(move, now) not in (Stage.PLANNED, Stage.DONE, Stage.ABORTED)
+
+
+def between(move: Move, key: int, first: float, last: float) -> tuple[bool, bool]:
+    """Whether the object may have stood in (the old, the new) cell at some time from `first` to `last`."""
+    shares = [shifted(move, at) for at in (first, last)]
+    for turn in (move.aborted_at, move.held_at):  # the share turns there, and at no other time
+        if turn and first < turn < last:
+            shares.append(shifted(move, turn))
+    return not over(move, key, min(shares)), over(move, key, max(shares))
+
+
+def load_at(move: Move, demand: Demand, now: float) -> float:
+    """Load on the receiving caches over their capacity. Objects that have just come over are filled at their
+    first lookup; of those that are over, the usual share is."""
+    share, step = shifted(move, now), 100.0
+    new = max(0.0, shifted(move, now + step) - share) / step * 1000.0 * demand.objects
+    rate = demand.rate * share
+    fills = min(rate, rate * (1.0 - demand.hit_share) + new)
+    return (demand.load + rate + fills * (demand.fill_cost - 1.0)) / demand.capacity
+
+
+def shift_time(demand: Demand) -> float | None:
+    """The shortest shift (ms) that keeps the receiving caches under HEAD_ROOM; None: they can't bear the tenants
+    even when warm. At the end all lookups come and the last objects are new."""
+    room = HEAD_ROOM * demand.capacity - demand.load - demand.rate
+    fills = room / max(demand.fill_cost - 1.0, 1e-9) - demand.rate * (1.0 - demand.hit_share)
+    if fills <= 0.0:
+        return None
+    return max(SHIFT_LEAST, 1000.0 * demand.objects / fills)
--- /dev/null
+++ b/mulleinrelay/cells/placement.py
@@ -0,0 +1,192 @@
+"""Which cell a tenant's lookup is confined to now, and with which pool: homes, moves, lost cells and receipts
+taken together. Pure; a director's caches are opaque nodes with a name and a warmth."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from ..interface import PURE, Pool, Purse, UseCase
+from . import moves, reserve
+from .assignment import caches_of, homes, shuffled
+from .charter import Cell, Charter, Move
+from .receipts import Ledger, Way, way
+from .reserve import Standing
+
+POOLS_MOST = 20_000  # kept; beyond, all are made anew as they are wanted
+RECEIPTS_MOST = 20_000
+
+
+class Nowhere(Enum):
+    """Why a lookup goes to no cell."""
+
+    LOST = "its cell is lost and no neighbour takes it in"
+    UNPROVEN = "its first try may have run in another cell"
+    HOMELESS = "its tenant has no cell"
+
+
+@dataclass(slots=True, eq=False)
+class Spot:
+    """Where a lookup goes: the cell that bears it, the pool, and whose guest it is there (empty: at home)."""
+
+    cell: str
+    pool: Pool
+    guest_of: str = ""
+
+
+class Placement:
+    def __init__(self, charter: Charter, may_pass_by: bool) -> None:
+        self.may_pass_by = may_pass_by
+        self.ledger = Ledger(RECEIPTS_MOST)
+        self.caches: list[tuple[str, Any, float]] = []  # the ready ones here: name, node, warmth
+        self.standings: dict[str, Standing] = {}
+        self.unsettled: dict[str, float] = {}  # tenants that changed cells without a move, and until when
+        self.cell_unsettled: dict[str, float] = {}  # cells that were lost or came back, and until when
+        self.homes: dict[str, str] = {}
+        self.purses: dict[str, Purse] = {}
+        self.charter = charter
+        self._take_over(charter)
+
+    # What comes in
+
+    def renew(self, now: float, charter: Charter) -> list[str]:
+        """A new version; gives words on what changed its mode. Tenants whose cell it changes without a move
+        change at once, which is said."""
+        before, old_moves = dict(self.homes), dict(self.moving)
+        self.charter = charter
+        self._take_over(charter)
+        until = now + charter.horizon + charter.skew + charter.spread
+        jumped = [name for name, home in self.homes.items()
+                  if name in before and before[name] != home and name not in old_moves
+                  and name not in self.moving]
+        self.unsettled = {name: end for name, end in self.unsettled.items() if now < end}
+        self.unsettled |= dict.fromkeys(jumped, until)
+        words = [f"{len(jumped)} tenants change cells without a move"] if jumped else []
+        return words + self._stand(now)
+
+    def listed(self, now: float, caches: Iterable[tuple[str, Any, float]]) -> list[str]:
+        """The ready caches of this location: name, node, warmth (0 to 1). Gives words on changes of mode."""
+        self.caches = sorted(caches, key=lambda entry: entry[0])
+        return self._stand(now)
+
+    def _take_over(self, charter: Charter) -> None:
+        self.homes = homes(charter)
+        self.moving = {tenant: move for move in charter.moves.values() for tenant in move.tenants}
+        self.standings = {name: self.standings.get(name) or Standing(cell)
+                          for name, cell in charter.cells.items()}
+        for name, standing in self.standings.items():
+            standing.cell = charter.cells[name]
+        self.pools: dict[tuple[str, str, str], Pool] = {}
+
+    def _stand(self, now: float) -> list[str]:
+        self.by_cell = caches_of(self.charter, [name for name, _, _ in self.caches])
+        self.nodes = {name: node for name, node, _ in self.caches}
+        warmth = {name: warm for name, _, warm in self.caches}
+        self.pools.clear()
+        words = []
+        for name, standing in self.standings.items():
+            here = self.by_cell[name]
+            word = standing.told(now, len(here), sum(warmth[cache] for cache in here))
+            if word:
+                words.append(f"cell {name} {word}")
+                self.cell_unsettled[name] = (now + self.charter.horizon + standing.cell.return_for
+                                             + self.charter.skew)
+        return words
+
+    # Where to
+
+    def spot(self, now: float, tenant: str, key: int, use_case: UseCase, receipt: str, repeated: bool
+             ) -> Spot | Nowhere:
+        home = self.homes.get(tenant)
+        if home is None:
+            return Nowhere.HOMELESS
+        everywhere = use_case.repeat == PURE or use_case.group != "cell"
+        known = self.ledger.where(tenant, receipt, now) if receipt else None
+        repeated = repeated or known is not None
+        move = self.moving.get(tenant)
+        if move is None:
+            cell = known if known in self.standings else home
+            if self._doubtful(now, tenant, home, repeated, everywhere, known):
+                return Nowhere.UNPROVEN
+            return self._at(now, tenant, key, cell, "", use_case, repeated and not everywhere)
+        return self._moving(now, tenant, key, move, use_case, known, repeated, everywhere)
+
+    def note(self, now: float, tenant: str, receipt: str, use_case: UseCase, spot: Spot) -> None:
+        """The lookup is taken: its repeats go the same way."""
+        if receipt and use_case.repeat != PURE:
+            kept = use_case.memory_span + use_case.client_timeout + self.charter.horizon
+            self.ledger.note(tenant, receipt, spot.cell, now, kept)
+
+    def _doubtful(self, now: float, tenant: str, cell: str, repeated: bool, everywhere: bool,
+                  known: str | None) -> bool:
+        """Whether a repeat may have run in a cell that nothing here tells."""
+        if everywhere or not repeated or known is not None:
+            return False
+        return now < self.unsettled.get(tenant, 0.0) or now < self.cell_unsettled.get(cell, 0.0)
+
+    def _moving(self, now: float, tenant: str, key: int, move: Move, use_case: UseCase, known: str | None,
+                repeated: bool, everywhere: bool) -> Spot | Nowhere:
+        charter, target = self.charter, self.standings[move.target]
+        to = way(move, key, repeated, everywhere, known, now, charter.horizon, charter.skew, charter.spread)
+        if to == Way.NOWHERE:
+            return Nowhere.UNPROVEN
+        where = moves.stage(move, now)
+        if to == Way.NEW and where in (moves.Stage.WARM, moves.Stage.SHIFT, moves.Stage.DRAIN,
+                                       moves.Stage.BACK):
+            if not reserve.at_home(key, target.home_share(now)):  # a receiving cell that fell away: the old one
+                to = Way.OLD  # takes its tenants as it did before
+                if repeated and not everywhere:
+                    return Nowhere.UNPROVEN
+        cell = move.target if to == Way.NEW else move.source
+        if self._doubtful(now, tenant, cell, repeated, everywhere, known):
+            return Nowhere.UNPROVEN
+        other = move.source if to == Way.NEW else move.target
+        if not moves.under_way(move, now) or (to == Way.OLD and not self.by_cell[other]):
+            other = ""
+        return self._at(now, tenant, key, cell, other, use_case, repeated and not everywhere)
+
+    def _at(self, now: float, tenant: str, key: int, cell: str, other: str, use_case: UseCase,
+            bound: bool) -> Spot | Nowhere:
+        """`other`: the other side of a move. `bound`: it may go nowhere else."""
+        standing = self.standings[cell]
+        if use_case.never_kept and self.may_pass_by:  # needs no cache
+            return Spot(cell, self._pool(tenant, cell, other))
+        if reserve.at_home(key, standing.home_share(now)):
+            return Spot(cell, self._pool(tenant, cell, other))
+        if bound:
+            return Nowhere.UNPROVEN
+        host = reserve.host(self.standings, standing.cell)
+        if host is None:
+            return Nowhere.LOST if standing.lost else Spot(cell, self._pool(tenant, cell, other))
+        return Spot(host.cell.name, self._pool(tenant, host.cell.name, ""), guest_of=cell)
+
+    def _pool(self, tenant: str, cell: str, other: str) -> Pool:
+        pool = self.pools.get((tenant, cell, other))
+        if pool is None:
+            if len(self.pools) >= POOLS_MOST:
+                self.pools.clear()
+            caches = self._nodes(tenant, self.charter.cells[cell])
+            aside = self._nodes(tenant, self.charter.cells[other]) if other else {}
+            old = bool(other) and self._is_source(tenant, other)
+            pool = self.pools[tenant, cell, other] = Pool(caches, aside if old else {}, aside,
+                                                          self.purse(tenant))
+        return pool
+
+    def _is_source(self, tenant: str, cell: str) -> bool:
+        move = self.moving.get(tenant)
+        return move is not None and move.source == cell
+
+    def _nodes(self, tenant: str, cell: Cell) -> dict[Any, None]:
+        return {self.nodes[name]: None for name in shuffled(tenant, self.by_cell[cell.name], cell.shuffle)}
+
+    def purse(self, tenant: str) -> Purse:
+        found = self.purses.get(tenant)
+        if found is None:
+            if len(self.purses) >= POOLS_MOST:
+                self.purses.clear()
+                self.pools.clear()
+            found = self.purses[tenant] = Purse(PURSE_AT_FIRST)
+        return found
+
+
+PURSE_AT_FIRST = 2.0  # further legs of a tenant that has just come; its lookups earn more
--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .interface import Leg, Listing, Lookup, Note, Order, Outcome, Place, State, Terms, UseCase
+from .interface import Leg, Listing, Lookup, Note, Order, Outcome, Place, Pool, State, Terms, UseCase
 from .log import Log
 from .policy import Director, Member
 
@@ -84,12 +84,13 @@
     # For the network code: lookups
 
     def take(self, use_case: UseCase, key: int, part: int, group: int, size: float, left: float,
-             repeated: bool, ticket: Any = None, room: bool = True) -> Lookup:
+             repeated: bool, ticket: Any = None, room: bool = True, pool: Pool | None = None) -> Lookup:
         """A lookup has come; the caller now picks for it, and until then nobody else does. Where there is no
-        room to see it through, the module ends it at once."""
+        room to see it through, the module ends it at once. With a pool it is confined to that."""
         now = self.clock()
         with self.lock:
-            lookup = Lookup(ticket, use_case, key, part, group, size, now, now + left, repeated)
+            lookup = Lookup(ticket, use_case, key, part, group, size, now, now + left, repeated,
+                            pool=pool)
             self.lives[lookup] = Life(threading.get_ident())
             self._set_timer(left + ANSWER_SLACK, "overdue", lookup)
             self._play("looked_up" if room else "woken", lookup)
@@ -159,7 +160,7 @@
                         place.gone = True
                     place = self.places[member] = Place(entry.name, entry.address)
                 place.gone = entry.state == State.GONE
-                rows.append((member, entry.state, entry.share, entry.kind, entry.zone, entry.cell,
+                rows.append((member, entry.state, entry.share, entry.kind, entry.zone, entry.listed_cell,
                              entry.started))
             if whole:
                 for name, member in self.nodes.items():
--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -109,7 +109,7 @@
     key: int
     zone: int = -1
     kind: int = -1
-    cell: int = -1
+    listed_cell: int = -1  # the list's own word; what a tenant is confined to is a Pool
     share: float = 1.0
     state: State = State.GONE
     started: float = 0.0
@@ -127,6 +127,24 @@
     bag: Any = None  # the module's own notes on it
 
 
+@dataclass(slots=True, eq=False)
+class Purse:
+    """Further legs that may go now, for all lookups that share it."""
+
+    again: float
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """What a lookup is confined to: the caches it may go to, those that are taken where none of these may be
+    sent to, those that may fill it as siblings besides, and the further legs it has in common with others."""
+
+    caches: dict[Node, None]
+    spare: dict[Node, None]
+    helpers: dict[Node, None]
+    purse: Purse
+
+
 @dataclass(slots=True, eq=False)
 class Lookup:
     ticket: Any  # the caller's own, for the way back
@@ -140,6 +158,7 @@
     repeated: bool = False
     ended: bool = False
     legs: list[Leg] = field(default_factory=list)
+    pool: Pool | None = None  # None: all caches of the location
 
 
 @dataclass(slots=True, eq=False)
@@ -157,6 +176,7 @@
     group: int
     size: float
     repeated: bool
+    tenant: str = ""  # as the client names it, in a field of our own
 
 
 @dataclass(slots=True, eq=False)
@@ -178,7 +198,7 @@
     share: float
     kind: int
     zone: int
-    cell: int
+    listed_cell: int
     started: float
 
 
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -10,7 +10,8 @@
 from random import Random
 from typing import Any
 
-from .interface import EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, State, Terms, Writer
+from .interface import (EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, Purse, State, Terms,
+                        Writer)
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
@@ -116,7 +117,7 @@
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
         self.subscribed, self.probe_due = not terms.must_subscribe, now
         self.admit = ADMIT_MANY + ADMIT_ALONE / math.sqrt(terms.directors_here)
-        self.again = AGAIN_MOST  # further legs that may go now
+        self.purse = Purse(AGAIN_MOST)  # further legs that may go now, where no pool brings its own
         self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
         self.behind = Histogram(HALF_BEHIND)  # delay of what came by way of the origin
@@ -145,7 +146,7 @@
         for member, *row in rows:
             if row[-1] != member.started or member not in self.members:
                 member.reset()
-            member.state, member.share, member.kind, member.zone, member.cell, member.started = row
+            member.state, member.share, member.kind, member.zone, member.listed_cell, member.started = row
             self.members[member] = None
         self.members = {member: None for member in self.members if member.state != State.GONE or member.out}
         ready = [member for member in self.members if member.state == State.READY]
@@ -160,7 +161,8 @@
         spot = (lookup.key, lookup.part)
         self.counts[spot] = self.counts.get(spot, 0) + 1
         self.total += 1
-        self.again = min(AGAIN_MOST, self.again + AGAIN_EARNED)
+        purse = lookup.pool.purse if lookup.pool else self.purse
+        purse.again = min(AGAIN_MOST, purse.again + AGAIN_EARNED)
         self.trials = min(TRIALS_MOST, self.trials + TRIAL_EARNED)
         self.weigh_pushbacks()
         if lookup.size and self.terms.flow:
@@ -205,9 +207,10 @@
             return self.give_up(lookup)
         if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
             cost = AGAIN_QUICK if self.now - lookup.legs[-1].sent < QUICK * self.work(lookup) else 1.0
-            if self.again < cost:
+            purse = lookup.pool.purse if lookup.pool else self.purse
+            if purse.again < cost:
                 return self.give_up(lookup)
-            self.again -= cost
+            purse.again -= cost
         write, pass_by = lookup.use_case.never_kept, self.terms.may_pass_by
         cache = None if write and pass_by else self.choose_cache(lookup)
         if cache is None:
@@ -294,9 +297,16 @@
     # Which cache
 
     def choose_cache(self, lookup: Lookup) -> Member | None:
+        """Of all caches, or of the lookup's pool; where none there may be sent to, of those it spares."""
+        if (pool := lookup.pool) is None:
+            return self.best(lookup, self.caches)
+        found = self.best(lookup, [cache for cache in self.caches if cache in pool.caches])
+        return found or self.best(lookup, [cache for cache in self.caches if cache in pool.spare])
+
+    def best(self, lookup: Lookup, caches: list[Member]) -> Member | None:
         most = self.bearable(lookup) if self.terms.sized else math.inf
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
-        ranked = self.by_hash([cache for cache in self.caches if cache not in tried], lookup.key, lookup.part)
+        ranked = self.by_hash([cache for cache in caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, self.work(lookup))
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
         first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
@@ -342,7 +352,10 @@
         tried = {leg.source for leg in lookup.legs if self.doubts_source(leg)}
         if cache is not None:
             limit, asks = self.delay(cache) + NEAR, self.terms.siblings and not self.holds(cache, lookup)
+            pool = lookup.pool
             for sibling in self.caches if asks else ():
+                if pool and sibling not in pool.caches and sibling not in pool.helpers:
+                    continue
                 if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
                         and any(self.fit([sibling], work))):
                     return sibling, True
