Tenants confined to cells at a running director; command line on click, package installable

Need: a tenant's lookups and its part of the director are to be bounded by an assignment file (issue: cells). Change: the warden (lock, file followed, records) round the pure governor; the front asks a gate before the module hears of a lookup; pyproject with console script and extras; click for the command line, imported part by part.

--- a/mulleinrelay/__main__.py
+++ b/mulleinrelay/__main__.py
@@ -1,5 +1,3 @@
-import sys
-
 from .cli import main
 
-sys.exit(main())
+main(prog_name="mulleinrelay")
--- a/mulleinrelay/cells/assignment.py
+++ b/mulleinrelay/cells/assignment.py
@@ -59,8 +59,8 @@
 
 
 def homes(charter: Charter) -> dict[str, str]:
-    """The cell of each tenant of the charter, moves aside. A tenant with a cell of its own in the table stands
-    there and counts against nobody's bound; with `table` as the way every other goes to no cell."""
+    """The cell of each tenant of the charter, moves aside. A tenant with a cell of its own in the table
+    stands there and counts against nobody's bound; with `table` as the way every other goes to no cell."""
     fixed = {name: tenant.cell for name, tenant in charter.tenants.items() if tenant.cell}
     if charter.how == TABLE:
         return fixed
@@ -70,8 +70,8 @@
 
 
 def caches_of(charter: Charter, caches: Iterable[str]) -> dict[str, list[str]]:
-    """The caches (of one location) of each cell, sorted. Those that no cell names go by hash to the cells that
-    name none, one at the least to each where there are as many; the others are nobody's."""
+    """The caches (of one location) of each cell, sorted. Those that no cell names go by hash to the cells
+    that name none, one at the least to each where there are as many; the others are nobody's."""
     here = sorted(set(caches))
     found: dict[str, list[str]] = {name: [] for name in charter.cells}
     named = {cache for cell in charter.cells.values() for cache in cell.caches}
--- a/mulleinrelay/cells/governor.py
+++ b/mulleinrelay/cells/governor.py
@@ -20,7 +20,7 @@
 BODY_SLOT = 16.0  # KB of a body that count as one more open lookup
 WIDTH_LEAST = 4.0
 LOST_WAIT = 1_000.0
-STEP_EVERY = 200.0
+TENANTS_TOLD = 50  # of those that were turned away most
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,6 +80,7 @@
         self.shares = Shares(most)
         self.guests: dict[str, Guests] = {}
         self.good, self.total, self.denied = 0, 0, 0
+        self.rated_at = -1e12
 
 
 @dataclass(slots=True, eq=False)
@@ -116,12 +117,13 @@
     # What changes
 
     def renew(self, now: float, charter: Charter) -> list[str]:
-        """A new version of the file is in force; gives words for the log. Raises CharterError, and then the old
-        one stays. Accounts, widths and receipts are kept."""
+        """A new version of the file is in force; gives words for the log. Raises CharterError, and then the
+        old one stays. Accounts, widths and receipts are kept."""
         naming = Naming(charter)
         words = self.placement.renew(now, charter)
         self._take_over(now, charter, naming)
-        return [f"version {charter.version}: {len(charter.cells)} cells, {len(charter.tenants)} tenants", *words]
+        first = f"version {charter.version}: {len(charter.cells)} cells, {len(charter.tenants)} tenants"
+        return [first, *words]
 
     def _take_over(self, now: float, charter: Charter, naming: Naming | None = None) -> None:
         self.charter, self.naming = charter, naming or Naming(charter)
@@ -162,7 +164,8 @@
         return self.placement.listed(now, caches)
 
     def step(self, now: float) -> list[str]:
-        """Releases and moves go on by the clock; gives words for the log. To be called some times a second."""
+        """Releases and moves go on by the clock; gives words for the log. To be called some times a
+        second."""
         words = []
         for name, move in self.charter.moves.items():
             if (stage := moves.stage(move, now)) != self.stages[name]:
@@ -204,7 +207,8 @@
         weight = self.charter.tenants[tenant].weight
         body = asking.body / 1024.0
         amount = 1.0 + body / BODY_SLOT
-        lane, own_lane = self.rates.lane(cell.name, cell.weight), self._lane(room, tenant, weight)
+        lane = self.rates.lane(cell.name, cell.weight)
+        own_lane = self._lane(now, room, lane, tenant, weight)
         wait = self.rates.wait(lane, now) or (room.rates.wait(own_lane, now) if room.rates.rate else 0.0)
         if wait:
             return self._deny(account, asking, "rate of the cell", wait, room)
@@ -233,8 +237,8 @@
         return Grant(tenant, spot.cell, spot.pool, amount, body, account, room, share, cell_share, guests)
 
     def settle(self, now: float, grant: Grant, good: bool, owed: bool, delay: float) -> str:
-        """The lookup is over; `good`: satisfied, `owed`: its client still waited, `delay`: ms, its sending time
-        aside. Gives a word where the cell's width has shrunk."""
+        """The lookup is over; `good`: satisfied, `owed`: its client still waited, `delay`: ms, its sending
+        time aside. Gives a word where the cell's width has shrunk."""
         if grant.settled:
             return ""
         grant.settled = True
@@ -255,7 +259,8 @@
         room.shares.width = room.width.now_most
         return ""
 
-    def _take(self, now: float, account: Account, room: Room, lane: Lane, own_lane: Lane, retry: bool) -> None:
+    def _take(self, now: float, account: Account, room: Room, lane: Lane, own_lane: Lane,
+              retry: bool) -> None:
         account.pace.take(now)
         account.granted += 1
         if retry:
@@ -266,19 +271,23 @@
         if room.rates.rate:
             room.rates.take(own_lane, now)
 
-    def _lane(self, room: Room, tenant: str, weight: float) -> Lane:
-        if not room.limits.rate and self.rates.rate:  # the cell's part of the director's rate, shared by tenants
-            room.rates.renew(self.rates.rate)
-        return room.rates.lane(tenant, weight)
+    def _lane(self, now: float, room: Room, lane: Lane, tenant: str, weight: float) -> Lane:
+        own = room.rates.lane(tenant, weight)
+        if not room.limits.rate and self.rates.rate and now >= room.rated_at + FairPace.RECKONED_FOR:
+            room.rated_at = now  # what the cell may reach of the director's rate is shared by its tenants
+            room.rates.renew(self.rates.free_for(lane))
+        return own
 
     def _open_account(self, tenant: str) -> Account:
-        if len(self.accounts) >= ACCOUNTS_MOST:  # the least lately used half goes; what is open is in the grants
+        # the least lately used half goes; what is open is in the grants
+        if len(self.accounts) >= ACCOUNTS_MOST:
             kept = sorted(self.accounts.items(), key=lambda held: held[1].used)[ACCOUNTS_MOST // 2:]
             self.accounts = dict(kept)
         account = self.accounts[tenant] = Account(self._limits(tenant))
         return account
 
-    def _deny(self, account: Account, asking: Asking, why: str, wait: float, room: Room | None = None) -> Denied:
+    def _deny(self, account: Account, asking: Asking, why: str, wait: float,
+              room: Room | None = None) -> Denied:
         account.denied += 1
         if room is not None:
             room.denied += 1
@@ -288,16 +297,18 @@
         return Denied(why, advice(wait, self.board.come_back_most), self._harmless(asking))
 
     def _harmless(self, asking: Asking) -> bool:
-        """Whether a client that is pushed back may come again: no leg of this lookup has gone out, but what it
-        repeats may have run."""
+        """Whether a client that is pushed back may come again: no leg of this lookup has gone out, but what
+        it repeats may have run."""
         case = asking.use_case
-        return not asking.repeated or case.repeat == PURE or (case.repeat == RECEIPTED and case.group == "all")
+        everywhere = case.repeat == RECEIPTED and case.group == "all"
+        return not asking.repeated or case.repeat == PURE or everywhere
 
     # For staff
 
     def status(self, now: float) -> dict[str, Any]:
         """Cells, moves and releases as this director has them; plain figures."""
         held = self.placement
+        most = sorted(self.accounts.items(), key=lambda one: (-one[1].denied, one[0]))
         return {
             "version": self.charter.version, "at": round(now), "open": self.cells.open,
             "unknown_denied": self.unknown.denied,
@@ -307,11 +318,10 @@
                 "warmth": round(held.standings[name].warmth(), 3), "open": room.shares.open,
                 "width": round(room.width.now_most, 1), "satisfied": room.good, "settled": room.total,
                 "denied": room.denied} for name, room in self.rooms.items()},
-            "moves": {name: {"stage": moves.stage(move, now).value, "share": round(moves.shifted(move, now), 4),
-                             "from": move.source, "to": move.target}
+            "moves": {name: {"stage": moves.stage(move, now).value, "from": move.source, "to": move.target,
+                             "share": round(moves.shifted(move, now), 4)}
                       for name, move in self.charter.moves.items()},
             "releases": {name: {"phase": course.phase().value, "wave": course.wave, "why": course.taken_back,
                                 "cells": sorted(course.since)} for name, course in self.courses.items()},
             "tenants": {name: {"home": held.homes.get(name, ""), "granted": account.granted,
-                               "denied": account.denied}
-                        for name, account in sorted(self.accounts.items(), key=lambda one: -one[1].denied)[:50]}}
+                               "denied": account.denied} for name, account in most[:TENANTS_TOLD]}}
--- a/mulleinrelay/cells/limits.py
+++ b/mulleinrelay/cells/limits.py
@@ -69,8 +69,8 @@
         self.peak = max(self.peak, open_now)
 
     def saw(self, now: float, delay: float) -> bool:
-        """A lookup was satisfied after `delay` (ms over its own sending time, 1 at the least). Gives whether the
-        width has shrunk."""
+        """A lookup was satisfied after `delay` (ms over its own sending time, 1 at the least). Gives whether
+        the width has shrunk."""
         if now >= self.ends + self.WINDOW:  # a first word, or after a pause: what was before tells nothing
             self._open(now)
         self.seen += 1
@@ -118,9 +118,10 @@
 class Shares:
     """Weighted fair shares of a number of open lookups, for all that ask for some.
 
-    Each party is sure of its part by weight among those that are active. What they don't use is lent; a lender
-    that comes back gets in at once, up to its part, over the bound by HEAD_ROOM at most, and until the borrowers
-    have gone down nothing more is lent. Lookups are short, so what is lent is back within their time.
+    Each party is sure of its part by weight among those that are active. What they don't use is lent; a
+    lender that comes back gets in at once, up to its part, over the bound by HEAD_ROOM at most, and until the
+    borrowers have gone down nothing more is lent. Lookups are short, so what is lent is back within their
+    time.
     """
 
     SPAN = 1_000.0  # ms: who asked for nothing so long has no part; demand is the peak of two of these
@@ -185,11 +186,13 @@
     weight: float
     pace: Pace
     asked: float = -1e12
+    taken: int = 0  # since the last reckoning
+    used: float = 0.0  # a second, smoothed
 
 
 class FairPace:
-    """Weighted fair shares of a rate. Each active party has its part for sure; what others leave of the whole is
-    lent to whoever comes first."""
+    """Weighted fair shares of a rate. Each active party has its part for sure; what others leave of the whole
+    is lent to whoever comes first."""
 
     ACTIVE, RECKONED_FOR, BURST = 1_000.0, 100.0, 0.1
 
@@ -231,11 +234,21 @@
             return
         if lane.pace.wait(now) == 0.0:
             lane.pace.take(now)
+        lane.taken += 1
         self.whole.take(now)
         self.whole.whole_at = min(self.whole.whole_at, now + self.ACTIVE)
 
+    def free_for(self, lane: Lane) -> float:
+        """What a party may reach: its part, and what the others leave of theirs."""
+        return max(self.part(lane), self.rate - sum(
+            min(self.part(other), 1.25 * other.used) for other in self.lanes.values() if other is not lane))
+
     def _reckon(self, now: float) -> None:
-        self.reckoned_at = now
+        span = now - self.reckoned_at
+        if span >= self.RECKONED_FOR:
+            for lane in self.lanes.values():
+                lane.used, lane.taken = 0.5 * lane.used + 500.0 * lane.taken / span, 0
+        self.reckoned_at = now if span >= self.RECKONED_FOR else self.reckoned_at
         for name in [name for name, lane in self.lanes.items() if now >= lane.asked + 60.0 * self.ACTIVE]:
             del self.lanes[name]
         active = [lane for lane in self.lanes.values() if now < lane.asked + self.ACTIVE]
--- a/mulleinrelay/cells/moves.py
+++ b/mulleinrelay/cells/moves.py
@@ -3,9 +3,10 @@
     planned -> warm -> shift -> drain -> done          abort from warm, shift or drain: back -> aborted
 
 In `warm` the share rises slowly to `warm_share`, in `shift` to 1. Objects go one by one in the order of their
-hash, so that directors whose clocks differ by a little differ in a few objects only, and what has gone over stays
-over. The old cell's caches fill misses as siblings until `done`, and take what the new ones may not be sent.
-On the way back the share falls as fast as it rose in `shift`, as the old caches may have dropped what they held.
+hash, so that directors whose clocks differ by a little differ in a few objects only, and what has gone over
+stays over. The old cell's caches fill misses as siblings until `done`, and take what the new ones may not be
+sent. On the way back the share falls as fast as it rose in `shift`, as the old caches may have dropped what
+they held.
 """
 
 from dataclasses import dataclass
@@ -32,7 +33,8 @@
 @dataclass(slots=True, frozen=True)
 class Demand:
     """What the receiving caches see of a move: lookups a second, their present load and capacity together in
-    the same unit, what a fill costs beside a hit (1), the share of hits once warm, and the objects asked for."""
+    the same unit, what a fill costs beside a hit (1), the share of hits once warm, and the objects asked
+    for."""
 
     rate: float
     load: float
@@ -118,8 +120,8 @@
 
 
 def shift_time(demand: Demand) -> float | None:
-    """The shortest shift (ms) that keeps the receiving caches under HEAD_ROOM; None: they can't bear the tenants
-    even when warm. At the end all lookups come and the last objects are new."""
+    """The shortest shift (ms) that keeps the receiving caches under HEAD_ROOM; None: they can't bear the
+    tenants even when warm. At the end all lookups come and the last objects are new."""
     room = HEAD_ROOM * demand.capacity - demand.load - demand.rate
     fills = room / max(demand.fill_cost - 1.0, 1e-9) - demand.rate * (1.0 - demand.hit_share)
     if fills <= 0.0:
--- a/mulleinrelay/cells/naming.py
+++ b/mulleinrelay/cells/naming.py
@@ -1,6 +1,7 @@
 """Whose lookup it is: by the client's own word, else its address, else the object's group, else the default.
 
-Addresses and groups are looked up by bisection, so that a table of many thousand tenants costs a lookup little.
+Addresses and groups are looked up by bisection, so that a table of many thousand tenants costs a lookup
+little.
 """
 
 import ipaddress
@@ -10,7 +11,8 @@
 
 
 class Ranges:
-    """Numbers to names by ranges that may hold one another, but never cross: the smallest that holds it wins."""
+    """Numbers to names by ranges that may hold one another, but never cross: the smallest that holds it
+    wins."""
 
     def __init__(self, ranges: list[tuple[int, int, str]], what: str) -> None:
         self.starts: list[int] = []
--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -13,6 +13,7 @@
 from .receipts import Ledger, Way, way
 from .reserve import Standing
 
+PURSE_AT_FIRST = 2.0  # further legs of a tenant that has just come; its lookups earn more
 POOLS_MOST = 20_000  # kept; beyond, all are made anew as they are wanted
 RECEIPTS_MOST = 20_000
 
@@ -133,8 +134,8 @@
         where = moves.stage(move, now)
         if to == Way.NEW and where in (moves.Stage.WARM, moves.Stage.SHIFT, moves.Stage.DRAIN,
                                        moves.Stage.BACK):
-            if not reserve.at_home(key, target.home_share(now)):  # a receiving cell that fell away: the old one
-                to = Way.OLD  # takes its tenants as it did before
+            if not reserve.at_home(key, target.home_share(now)):
+                to = Way.OLD  # the receiving cell fell away: the old one takes its tenants as before
                 if repeated and not everywhere:
                     return Nowhere.UNPROVEN
         cell = move.target if to == Way.NEW else move.source
@@ -187,6 +188,3 @@
                 self.pools.clear()
             found = self.purses[tenant] = Purse(PURSE_AT_FIRST)
         return found
-
-
-PURSE_AT_FIRST = 2.0  # further legs of a tenant that has just come; its lookups earn more
--- a/mulleinrelay/cells/reading.py
+++ b/mulleinrelay/cells/reading.py
@@ -1,5 +1,5 @@
-"""An assignment file as text, to a charter and back; pure. A fault is a CharterError whose text names the key,
-as in `[tenant acme] rate: a number of 0 or more is wanted`."""
+"""An assignment file as text, to a charter and back; pure. A fault is a CharterError whose text names the
+key, as in `[tenant acme] rate: a number of 0 or more is wanted`."""
 
 import configparser
 import ipaddress
@@ -45,7 +45,8 @@
             raise self.fault(key, "the key is missing")
         return value.strip()
 
-    def number(self, key: str, default: float | None = None, most: float = LATEST, least: float = 0.0) -> float:
+    def number(self, key: str, default: float | None = None, most: float = LATEST,
+               least: float = 0.0) -> float:
         text = self.text(key, None if default is None else repr(default))
         try:
             value = float(text)
@@ -170,14 +171,15 @@
         if not first <= last <= GROUP_MOST:
             raise keys.fault("groups", f"{part!r} is no group or range of groups from 0 to {GROUP_MOST}")
         groups.append((first, last))
-    return Tenant(name, keys.text("cell", ""), keys.number("weight", 1.0, 1e6, 1e-6), addresses, tuple(groups),
-                  _limits(keys, limits, False))
+    return Tenant(name, keys.text("cell", ""), keys.number("weight", 1.0, 1e6, 1e-6), addresses,
+                  tuple(groups), _limits(keys, limits, False))
 
 
 def _move(keys: Keys, name: str, _: Limits) -> Move:
     return Move(name, keys.names("tenants"), keys.text("from"), keys.text("to"), keys.number("starts"),
                 keys.number("warm_ms"), keys.number("shift_ms"), keys.number("drain_ms"),
-                keys.number("warm_share", 0.05, 1.0), keys.number("held_at", 0.0), keys.number("aborted_at", 0.0))
+                keys.number("warm_share", 0.05, 1.0), keys.number("held_at", 0.0),
+                keys.number("aborted_at", 0.0))
 
 
 def _release(keys: Keys, name: str, limits: Limits) -> Release:
--- a/mulleinrelay/cells/receipts.py
+++ b/mulleinrelay/cells/receipts.py
@@ -2,7 +2,8 @@
 long as that remembers it, else nowhere.
 
 The ledger knows what this director has taken. Of a client's retry whose first try went to another director
-only the clock tells: where it may have gone to the other cell, the lookup is broken off rather than run twice.
+only the clock tells: where it may have gone to the other cell, the lookup is broken off rather than run
+twice.
 """
 
 from collections import OrderedDict
@@ -44,8 +45,8 @@
 def way(move: Move, key: int, repeated: bool, everywhere: bool, known: str | None, now: float,
         horizon: float, skew: float, spread: float = 0.0) -> Way:
     """`known`: the cell that the ledger has for this receipt. `everywhere`: every node of the fleet drops its
-    repeats, so that any cell will do. `horizon`: how long before now its first try may have come. `spread`: for
-    so long after the move's start a director may still have gone by the version without it."""
+    repeats, so that any cell will do. `horizon`: how long before now its first try may have come. `spread`:
+    for so long after the move's start a director may still have gone by the version without it."""
     if known == move.source:
         return Way.OLD
     if known == move.target:
--- a/mulleinrelay/cells/releases.py
+++ b/mulleinrelay/cells/releases.py
@@ -1,8 +1,9 @@
-"""New limits by waves: one canary cell, then the others, halted and taken back where the cell suffers by them.
+"""New limits by waves: one canary cell, then the others, halted and taken back where the cell suffers by
+them.
 
 Each director judges from its own lookups. A cell with the release is set against its own past, and that
-difference against the same difference of the cells without it: what strikes both is no fault of the release, and
-halts it without taking it back.
+difference against the same difference of the cells without it: what strikes both is no fault of the release,
+and halts it without taking it back.
 """
 
 from dataclasses import dataclass, field
@@ -140,7 +141,8 @@
         others_fell, others_slower = _change(their_past, without) if told else (0.0, 1.0)
         noise = GRACE * _deviation(its_past, with_it) * (1.0 / with_it.total + 1.0 / its_past.total) ** 0.5
         bound = self.release.drop_most + noise
-        if fell - max(0.0, others_fell) > bound or slower / max(1.0, others_slower) > self.release.slower_most:
+        beyond = slower / max(1.0, others_slower)
+        if fell - max(0.0, others_fell) > bound or beyond > self.release.slower_most:
             return "worse"
         if fell > bound or slower > self.release.slower_most:
             return "both"
@@ -154,7 +156,8 @@
 
 def _change(past: Record, now: Record) -> tuple[float, float]:
     """How far the satisfied share fell, and by how much the delay rose (with 5 ms put in against noise)."""
-    return past.share() - now.share(), (now.mean() + 5.0) / (past.mean() + 5.0) if past.good and now.good else 1.0
+    slower = (now.mean() + 5.0) / (past.mean() + 5.0) if past.good and now.good else 1.0
+    return past.share() - now.share(), slower
 
 
 def _deviation(one: Record, other: Record) -> float:
--- a/mulleinrelay/cells/store.py
+++ b/mulleinrelay/cells/store.py
@@ -32,8 +32,8 @@
 
 @contextmanager
 def sole_writer(path: str) -> Iterator[None]:
-    """Holds the file's lock, so that two commands don't overwrite one another; raises CharterError where another
-    holds it."""
+    """Holds the file's lock, so that two commands don't overwrite one another; raises CharterError where
+    another holds it."""
     try:
         lock = os.open(f"{path}.lock", os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o644)
     except OSError as wrong:
--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -1,84 +1,92 @@
-"""The command line: serve, check, version."""
+"""The command line. What serves and what only reads files import nothing of one another: each command draws
+in its own part when it is called."""
 
-import argparse
-import gc
 import os
-import queue
-import signal
 import sys
-import threading
-import time
+
+import click
 
 from . import VERSION
-from .configuration import ConfigurationError, from_environment
-from .log import Log
-from .net.service import Service
-
-STACK = 128 * 1024  # bytes for each thread; of these only what is touched counts
-READ_AGAIN = (0.05, 0.2, 0.0)  # s after which a configuration that can't be used is read again
-DONE, NOT_STARTED, BAD_CONFIGURATION = 0, 1, 2
-
-
-def serve(options: argparse.Namespace) -> int:
-    told: queue.SimpleQueue[int] = queue.SimpleQueue()  # signals, which the main thread obeys in turn
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # HUP, unhandled, would end the program
-        signal.signal(number, lambda number, _: told.put(number))
-    start = from_environment(os.environ, options.config)
-    threading.stack_size(STACK)
-    log = Log(start.name)
-    service = Service(start, log)
-    try:
-        service.start()
-    except OSError as wrong:
-        print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {wrong.strerror}",
-              file=sys.stderr)
-        return NOT_STARTED
-    gc.collect()
-    gc.freeze()  # what stands at the start stays: the collector need not look at it again
-    while told.get() == signal.SIGHUP:
-        renew(service, log, options.config)
-    service.stop()
-    service.wait()
-    log.close()
-    return DONE
-
-
-def renew(service: Service, log: Log, path: str | None) -> None:
-    """Reads the configuration again; where it can't be used, a few times, as it may not be whole yet."""
-    for wait in READ_AGAIN:
+
+DONE, NOT_STARTED, BAD_CONFIGURATION, MISUSED, REFUSED = 0, 1, 2, 2, 3
+GROUPS = {"cells": "mulleinrelay.cells.commands", "lab": "mulleinrelay.lab.commands"}
+
+
+class Lazy(click.Group):
+    """Groups of commands that are imported when they are wanted."""
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted({*super().list_commands(context), *GROUPS})
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name not in GROUPS:
+            return super().get_command(context, name)
+        from importlib import import_module
         try:
-            return service.renew(from_environment(os.environ, path))
+            return getattr(import_module(GROUPS[name]), name)
+        except ModuleNotFoundError as missing:
+            if (missing.name or "").startswith("mulleinrelay"):
+                raise
+            raise click.ClickException(
+                f"{name}: the library {missing.name} is missing; install mulleinrelay[{name}]") from None
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A router before tiers of caches.
+
+    Exit codes: 0 done; 1 not started, or failed; 2 wrong use or a wrong file; 3 refused: the change would
+    break a rule, and says which. """
+
+
+CONFIG = click.option("--config", metavar="FILE", help="The platform's configuration (default: $LB_CONFIG).")
+CELLS = click.option("--cells", metavar="FILE", envvar="MULLEINRELAY_CELLS",
+                     help="Our own file, as deploy/cells.ini (default: $MULLEINRELAY_CELLS; none: off).")
+
+
+@main.command()
+@CONFIG
+@CELLS
+def serve(config: str | None, cells: str | None) -> None:
+    """Run one director until SIGTERM; SIGHUP reads the configuration again."""
+    from .serving import serve
+    sys.exit(serve(config, cells))
+
+
+@main.command()
+@CONFIG
+@CELLS
+def check(config: str | None, cells: str | None) -> None:
+    """Read the configurations and say what is wrong with them."""
+    from .configuration import ConfigurationError, from_environment
+    if cells is None or config or os.environ.get("LB_CONFIG"):
+        try:
+            start = from_environment(os.environ, config)
         except ConfigurationError as wrong:
-            why = str(wrong)
-            time.sleep(wait)
-    log.event("configuration kept", why=why)  # what was read last holds on
-
-
-def check(options: argparse.Namespace) -> int:
-    start = from_environment(os.environ, options.config)
-    print(f"{start.name}: listens on {start.listen[0]}:{start.listen[1]}, {len(start.use_cases)} use cases, "
-          f"{len(start.events)} events known, up to number {start.known}")
-    return DONE
-
-
-def version(_: argparse.Namespace) -> int:
-    print(f"mulleinrelay {VERSION}")
-    return DONE
-
-
-def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="mulleinrelay", description="A router before tiers of caches.")
-    commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for action, says in ((serve, "run one director until SIGTERM"),
-                         (check, "read a configuration and say what is wrong with it"),
-                         (version, "print the version")):
-        command = commands.add_parser(action.__name__, help=says, description=says)
-        command.set_defaults(action=action)
-        if action is not version:
-            command.add_argument("--config", metavar="FILE", help="the configuration (default: $LB_CONFIG)")
-    options = parser.parse_args(arguments)
-    try:
-        return options.action(options)
-    except ConfigurationError as wrong:
-        print(f"mulleinrelay: {wrong}", file=sys.stderr)
-        return BAD_CONFIGURATION
+            faulty(str(wrong))
+        click.echo(f"{start.name}: listens on {start.listen[0]}:{start.listen[1]}, {len(start.use_cases)} "
+                   f"use cases, {len(start.events)} events known, up to number {start.known}")
+    if cells is not None:
+        from .cells.charter import CharterError
+        from .cells.own import load_own
+        from .cells.store import load
+        try:
+            own = load_own(cells)
+            charter = load(own.assignment) if own.assignment else None
+        except CharterError as wrong:
+            faulty(str(wrong))
+        held = (f"version {charter.version}, {len(charter.cells)} cells, {len(charter.tenants)} tenants, "
+                f"{len(charter.moves)} moves" if charter else "no assignment")
+        click.echo(f"cells: {'on' if own.enabled else 'off'}, {held}")
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"mulleinrelay {VERSION}")
+
+
+def faulty(text: str, code: int = BAD_CONFIGURATION) -> None:
+    """Says what is wrong and exits."""
+    click.echo(f"mulleinrelay: {text}", err=True)
+    sys.exit(code)
--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -144,6 +144,14 @@
     def open_lookups(self) -> int:
         return len(self.lives)
 
+    def ready_caches(self) -> list[tuple[str, Member, float]]:
+        """Those of this location by name, each with the share of its capacity that it has at the least."""
+        with self.lock:
+            now, director = self.clock(), self.director
+            director.now = max(director.now, now)
+            return sorted(((self.places[member].name, member, director.warmth(member))
+                           for member in director.caches), key=lambda entry: entry[0])
+
     # For the network code: nodes, events and time
 
     def listed(self, entries: list[Listing], whole: bool) -> None:
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -6,10 +6,11 @@
 import threading
 import time
 from dataclasses import dataclass
+from typing import Any, Protocol
 
 from ..configuration import Start
-from ..facade import BrokenOff, Facade, GiveUp, PushedBack, Satisfied, Verdict
-from ..interface import RECEIPTED, Asked, Lookup, Order
+from ..facade import BrokenOff, Facade, GiveUp, Left, PushedBack, Satisfied, Verdict
+from ..interface import RECEIPTED, Asked, Lookup, Order, UseCase
 from ..log import Log
 from . import thrift
 from .caches import Caches
@@ -32,8 +33,9 @@
 class Client:
     """One connection of clients."""
 
-    def __init__(self, connection: socket.socket) -> None:
-        self.connection = connection
+    def __init__(self, connection: socket.socket, address: str = "", entry: str = "") -> None:
+        """`entry`: what the gate gave for it and gets back."""
+        self.connection, self.address, self.entry = connection, address, entry
         self.lock = threading.Lock()  # guards `open` and the outlet
         self.outlet = Outlet(self.lock)
         self.outlet.connection = connection
@@ -78,10 +80,26 @@
     client: Client
     number: int
     asked: Asked
+    grant: Any = None  # the gate's
+
+
+class Gate(Protocol):
+    """Who turns lookups and connections away before the module hears of them, and says what the others are
+    confined to."""
+
+    tenant_field: str
+
+    def enter(self, address: str) -> str | None:
+        """None: no further connection may come from there."""
+    def leave(self, entry: str) -> None: ...
+    def admit(self, asked: Asked, use_case: UseCase, address: str) -> Any:
+        """Something with a `pool`, or with `come_back` (ms) and `harmless`, and then no `pool`."""
+    def settle(self, grant: Any, lookup: Lookup, good: bool, owed: bool) -> None: ...
 
 
 class Front:
     def __init__(self, start: Start, facade: Facade, caches: Caches, log: Log, clients_most: int) -> None:
+        self.gate: Gate | None = None
         self.marks: set[str] = set()  # ids of lookups, which are new with each, also with a client's retry
         self.older: set[str] = set()
         self.marks_most, self.marks_since = int(MARKS_PER_MB * start.memory_mb), time.monotonic()
@@ -128,7 +146,7 @@
     def _accept(self) -> None:
         while True:
             try:
-                connection, _ = self.listener.accept()
+                connection, address = self.listener.accept()
             except OSError as broken:
                 if broken.errno in (errno.EINVAL, errno.EBADF):  # closed by `stop`
                     return
@@ -136,15 +154,26 @@
                 time.sleep(0.05)
                 continue
             try:
-                self._welcome(connection)
+                self._welcome(connection, address[0])
             except Exception as broken:  # no thread to be had, say: this client is lost, others are not
                 self.log.fault("accept", broken)
                 connection.close()
 
-    def _welcome(self, connection: socket.socket) -> None:
+    def _welcome(self, connection: socket.socket, address: str) -> None:
+        entry = self.gate.enter(address) if self.gate is not None else ""
+        if entry is None:
+            return connection.close()
+        seated = False
+        try:
+            seated = self._seat(connection, address, entry)
+        finally:
+            if self.gate is not None and not seated:
+                self.gate.leave(entry)
+
+    def _seat(self, connection: socket.socket, address: str, entry: str) -> bool:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, TIMEVAL.pack(WRITE_WAIT, 0))
-        client = Client(connection)
+        client = Client(connection, address, entry)
         with self.lock:
             most = self.clients_most
             while (here := len(self.clients)) > most - max(1, most // SPARE_SHARE):
@@ -153,7 +182,8 @@
                     idle.end(only_idle=True)
                 elif here >= most and not any(other.outlet.ended for other in self.clients):
                     connection.close()
-                    return self.log.event("client turned away", clients=here)
+                    self.log.event("client turned away", clients=here)
+                    return False
                 if here < most:
                     break
                 self.gone.wait(0.02)  # one that is ended holds its descriptor until its thread has seen it
@@ -164,6 +194,7 @@
             with self.lock:
                 del self.clients[client]
             raise
+        return True
 
     def _idlest(self) -> Client | None:
         """The connection that makes room: one with nothing open that has never called, else the one with the
@@ -199,6 +230,8 @@
             with self.lock:
                 self.clients.pop(client, None)
                 self.gone.notify()
+            if self.gate is not None:
+                self.gate.leave(client.entry)
 
     def _call(self, client: Client, frame: memoryview) -> None:
         call = thrift.read_call(frame)
@@ -226,7 +259,7 @@
     # Lookups
 
     def _serve(self, client: Client, call: thrift.Call) -> None:
-        asked = thrift.read_serve(call.rest)
+        asked = thrift.read_serve(call.rest, self.gate.tenant_field if self.gate is not None else "")
         use_case = self.start.use_cases.get(asked.use_case)
         if use_case is None:
             raise thrift.ThriftError("an unknown use case")
@@ -248,15 +281,28 @@
             with client.lock:
                 del client.open[call.number]
             raise thrift.ThriftError("the id was used before")
-        client.bad = 0
+        client.bad, pool, grant = 0, None, None
+        if self.gate is not None:
+            grant = self.gate.admit(asked, use_case, client.address)
+            pool = getattr(grant, "pool", None)
+            if pool is None:
+                return self._turn_away(client, call.number, grant.come_back, grant.harmless)
         lookup = self.facade.take(
             use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
-            min(asked.left, use_case.client_timeout), asked.repeated, Ticket(client, call.number, asked),
-            room=self.facade.open_lookups() < self.lookups_most)
+            min(asked.left, use_case.client_timeout), asked.repeated,
+            Ticket(client, call.number, asked, grant),
+            room=self.facade.open_lookups() < self.lookups_most, pool=pool)
         with client.lock:
             client.open[call.number] = lookup
         self.see_through(lookup)
 
+    def _turn_away(self, client: Client, number: int, come_back: float, harmless: bool) -> None:
+        """The one answer of a lookup that the module has not heard of."""
+        pieces = thrift.pushed_back(number, come_back) if harmless else thrift.broken_off(number)
+        with client.lock:
+            if client.open.pop(number, self) is None:
+                client.outlet.put(number, pieces)
+
     def _mark(self, mark: str) -> bool:
         """Whether an id is new. Guards against what comes again at full speed, and against nodes that take
         one lookup for another; harms only a client that breaks the protocol."""
@@ -281,9 +327,14 @@
                 self._do(step, ticket)
                 if isinstance(step, Verdict):
                     lookup.ticket = None  # timers may hold the lookup for a while, but not what it brought
+                    if ticket.grant is not None:
+                        self.gate.settle(ticket.grant, lookup, isinstance(step, Satisfied),
+                                         not isinstance(step, Left))
         except Exception as broken:
             self.log.fault("see through", broken)
             self.facade.drop(lookup)
+            if ticket.grant is not None:
+                self.gate.settle(ticket.grant, lookup, False, True)
             ticket.client.answer(ticket.number, thrift.broken_off(ticket.number))
 
     def _do(self, step: Order | GiveUp | Verdict, ticket: Ticket) -> None:
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from ..configuration import Start
 from ..facade import Facade
@@ -11,6 +12,9 @@
 from .caches import Caches
 from .front import Front
 
+if TYPE_CHECKING:
+    from ..cells.own import OwnFile
+
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY, ASK_EVERY = 250.0, 25.0
 COMING = 1.0  # s after the call to stop in which clients still come
@@ -26,7 +30,9 @@
 
 
 class Service:
-    def __init__(self, start: Start, log: Log) -> None:
+    def __init__(self, start: Start, log: Log, cells: "OwnFile | None" = None) -> None:
+        """`cells`: tenants are confined as that file says. Raises CharterError where its assignment can't be
+        used."""
         self.start_settings, self.log = start, log
         self.phase = Phase.STARTING
         self.offset = time.time() * 1000.0 - time.monotonic() * 1000.0  # taken once: steps don't reach us
@@ -36,6 +42,11 @@
                              start.legs_a_connection, int(LINKS_SHARE * start.sockets), start.terms.may_probe)
         self.front = Front(start, self.facade, self.caches, log, int(CLIENTS_SHARE * start.sockets))
         self.bus = Bus(start, self.facade, log)
+        self.warden = None
+        if cells is not None and cells.enabled:
+            from ..cells.warden import Warden  # its libraries are there only where it is on
+            self.warden = Warden(cells, start, self.facade, self.clock, log, self.front.lookups_most)
+            self.front.gate = self.warden
 
     def clock(self) -> float:
         """Unix milliseconds."""
@@ -43,6 +54,8 @@
 
     def start(self) -> None:
         self.bus.begin()
+        if self.warden is not None:
+            self.warden.begin()
         threading.Thread(target=self._keep_time, name="clock", daemon=True).start()
         self.front.begin()
         self.front.well = True
@@ -74,6 +87,8 @@
             time.sleep(0.02)
         self.front.stop()
         self.bus.stop()
+        if self.warden is not None:
+            self.warden.stop()
         self.caches.stop()
         self._enter(Phase.STOPPED)
         self.ended.set()
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -142,8 +142,9 @@
     return call
 
 
-def read_serve(reader: Reader) -> Asked:
-    """The arguments of `serve`, each field checked by its form."""
+def read_serve(reader: Reader, tenant_field: str = "") -> Asked:
+    """The arguments of `serve`, each field checked by its form. `tenant_field`: where our own installations'
+    clients name their tenant; empty: nowhere."""
     fields, body = None, reader.frame[:0]
     while (kind := reader.byte()) != 0:
         number = reader.short()
@@ -157,10 +158,10 @@
             reader.skip(kind)
     if fields is None:
         raise ThriftError("no fields")
-    return _asked(fields, body)
+    return _asked(fields, body, tenant_field)
 
 
-def _asked(fields: dict[str, str], body: memoryview) -> Asked:
+def _asked(fields: dict[str, str], body: memoryview, tenant_field: str) -> Asked:
     def read(name: str, form: re.Pattern[str], default: str | None = None) -> str:
         value = fields.get(name)
         if value is None and default is not None:
@@ -178,7 +179,8 @@
         use_case=read("route", TOKEN), mark=read("trace", HEX), object=read("entity", HEX),
         part=read("nth", NUMBER, "0"), receipt=read("nonce", TOKEN, ""), tag=read("got", TOKEN, ""),
         body=body, left=float(read("patience", DECIMAL)), group=group,
-        size=float(read("size", DECIMAL, "0")), repeated="redo" in fields)
+        size=float(read("size", DECIMAL, "0")), repeated="redo" in fields,
+        tenant=read(tenant_field, TOKEN, "") if tenant_field else "")
 
 
 def read_forget(reader: Reader) -> int:
--- /dev/null
+++ b/tests/cells/stage.py
@@ -0,0 +1,102 @@
+"""Helpers of the tests of cells."""
+
+import json
+
+from helpers import SPOTS, Caller, Sink, StandBus, StandNode, configuration, wait_for  # noqa: F401
+
+from mulleinrelay.cells.charter import Cell, Charter, Limits, Move, Tenant
+from mulleinrelay.cells.governor import Asking, Board, Governor
+from mulleinrelay.cells.own import OwnFile
+from mulleinrelay.cells.reading import write
+from mulleinrelay.configuration import decode
+from mulleinrelay.interface import EFFECTFUL, PURE, RECEIPTED, UseCase
+from mulleinrelay.net.service import Service
+
+PAGES = UseCase(PURE, 500.0, 2.0, 6000.0, 5000.0, "all", 0.0, False)
+ORDER = UseCase(RECEIPTED, 500.0, 2.0, 6000.0, 6000.0, "cell", 0.0, False)
+ORDER_ALL = UseCase(RECEIPTED, 500.0, 2.0, 6000.0, 6000.0, "all", 0.0, True)
+PAY = UseCase(EFFECTFUL, 500.0, 2.0, 6000.0, 6000.0, "cell", 0.0, False)
+
+
+def charter(cells=("north", "south"), tenants=("acme", "beta", "shared"), moves=(), version=1, releases=(),
+            tenant_limits=None, **changes):
+    """A charter of two cells whose tenants stand in the first, save `beta` in the second."""
+    held = {one if isinstance(one, str) else one.name: Cell(one) if isinstance(one, str) else one
+            for one in cells}
+    first, last = next(iter(held)), list(held)[-1]
+    people = {}
+    for one in tenants:
+        tenant = one if isinstance(one, Tenant) else Tenant(
+            one, last if one == "beta" else first, limits=tenant_limits or Limits())
+        people[tenant.name] = tenant
+    return Charter(version, 1000.0, held, people, {move.name: move for move in moves},
+                   {release.name: release for release in releases},
+                   **({"default_tenant": "shared"} | changes))
+
+
+def move(starts=10_000.0, **changes):
+    return Move(**({"name": "m1", "tenants": ("acme",), "source": "north", "target": "south",
+                    "starts": starts, "warm_for": 1_000.0, "shift_for": 4_000.0, "drain_for": 2_000.0} | changes))
+
+
+class Ruled:
+    """A governor with named caches, and a clock that stands until moved."""
+
+    def __init__(self, held=None, caches=("s-01", "s-02", "s-03", "s-04"), board=None, by_pass=True):
+        self.now = 1_000.0
+        self.governor = Governor(self.now, held or charter(), board or Board(100.0), by_pass)
+        self.words = self.listed(caches)
+
+    def listed(self, caches, warmth=None):
+        warmth = warmth or {}
+        return self.governor.listed(self.now, [(name, name, warmth.get(name, 1.0)) for name in caches])
+
+    def ask(self, told="acme", use_case=PAGES, key=7, receipt="", repeated=False, body=0, address="",
+            group=99):
+        return self.governor.admit(self.now, Asking(told, address, group, key, use_case, receipt, repeated,
+                                                    body))
+
+    def done(self, grant, good=True, delay=5.0, owed=True):
+        return self.governor.settle(self.now, grant, good, owed, delay)
+
+
+class Housed:
+    """Whole directors with one assignment file, before the same stand-ins, ended with the block."""
+
+    def __init__(self, folder, held, plan=(b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes"), directors=1,
+                 open_most=0, rate=0.0, **changes):
+        self.path = folder / "assignment.ini"
+        self.path.write_text(write(held))
+        plans = plan if isinstance(plan, list) else [plan] * len(SPOTS)
+        self.nodes = [StandNode(each) for each in plans]
+        self.bus, self.services, self.sinks, self.callers = StandBus(), [], [], []
+        for number in range(directors):
+            whole = configuration([node.address for node in self.nodes], self.bus.address, **changes)
+            own = OwnFile(True, str(self.path), "tenant", 50.0, str(folder / "records"), open_most, rate,
+                          5_000.0)
+            self.sinks.append(Sink())
+            start = decode(json.dumps(whole | {"name": f"n{number}"}))
+            self.services.append(Service(start, self.sinks[-1], own))
+
+    def __enter__(self):
+        for service in self.services:
+            service.start()
+        return self
+
+    def caller(self, number=0):
+        self.callers.append(Caller(self.services[number].front.listener.getsockname()))
+        return self.callers[-1]
+
+    def heard(self, word="PULL"):
+        return {SPOTS[place][0]: [entry for entry in node.heard if entry[0] == word]
+                for place, node in enumerate(self.nodes)}
+
+    def __exit__(self, *_):
+        for service in self.services:
+            service.stop()
+        for caller in self.callers:
+            caller.close()
+        for service in self.services:
+            service.wait()
+        for each in (*self.nodes, self.bus):
+            each.close()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,12 +1,19 @@
 import json
 
 import pytest
+from click.testing import CliRunner
 from helpers import configuration
 
 from mulleinrelay import cli
 from mulleinrelay.configuration import ConfigurationError, decode, from_environment
 
 
+def call(*arguments):
+    """(exit code, standard output, standard error) of one command."""
+    done = CliRunner().invoke(cli.main, arguments)
+    return done.exit_code, done.stdout, done.stderr
+
+
 def changed(path, value):
     """The configuration with one key set, or taken out where the value is `...`."""
     whole = configuration()
@@ -45,14 +52,13 @@
         ("settings/rules/cold", True, "settings.rules.cold: a number"),
     ],
 )
-def test_a_fault_names_its_key(path, value, told, tmp_path, capsys):
+def test_a_fault_names_its_key(path, value, told, tmp_path):
     with pytest.raises(ConfigurationError) as fault:
         decode(changed(path, value))
     assert str(fault.value).startswith(told)
     file = tmp_path / "config.json"
     file.write_text(changed(path, value))
-    assert cli.main(["check", "--config", str(file)]) == 2
-    assert capsys.readouterr().err == f"mulleinrelay: {fault.value}\n"
+    assert call("check", "--config", str(file)) == (2, "", f"mulleinrelay: {fault.value}\n")
 
 
 @pytest.mark.parametrize("text", ["", "[", "[]", "nul"])
@@ -61,15 +67,15 @@
         decode(text)
 
 
-def test_a_configuration_as_a_director_gets_it(tmp_path, capsys):
+def test_a_configuration_as_a_director_gets_it(tmp_path):
     start = decode(json.dumps(configuration()))
     assert (start.name, start.seed, start.sockets, start.known) == ("n3", 0x8C1F, 1024, 1)
     assert list(start.use_cases) == ["pages", "order", "pay"] and start.zones == {"hub": 0, "edge": 1}
     file = tmp_path / "config.json"
     file.write_text(json.dumps(configuration()))
     assert from_environment({"LB_CONFIG": str(file)}).name == "n3"
-    assert cli.main(["check", "--config", str(file)]) == 0
-    assert capsys.readouterr().out.startswith("n3: listens on 127.0.0.1:")
+    code, told, _ = call("check", "--config", str(file))
+    assert code == 0 and told.startswith("n3: listens on 127.0.0.1:")
 
 
 @pytest.mark.parametrize("environment", [{}, {"LB_CONFIG": "/no/such/file"}])
@@ -78,5 +84,6 @@
         from_environment(environment)
 
 
-def test_version(capsys):
-    assert cli.main(["version"]) == 0 and capsys.readouterr().out.startswith("mulleinrelay 0.")
+def test_version():
+    code, told, _ = call("version")
+    assert code == 0 and told.startswith("mulleinrelay 0.")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,7 +10,7 @@
 import pytest
 from helpers import MUTE, Caller, Running, Sink, StandBus, StandNode, call_frame, configuration, wait_for
 
-from mulleinrelay import cli
+from mulleinrelay import serving
 from mulleinrelay.facade import Facade
 from mulleinrelay.interface import Leg, Outcome
 from mulleinrelay.log import Log
@@ -595,7 +595,7 @@
 
     monkeypatch.setattr(time, "sleep", pass_time)
     sink.renew = lambda start: sink.event("renewed", bus=start.bus)
-    cli.renew(sink, sink, str(file))
+    serving.renew(sink, sink, str(file))
     assert sink.events == [outcome]
 
 
