--- /dev/null
+++ b/mulleinrelay/cells/changes.py
@@ -0,0 +1,205 @@
+"""What staff may change of an assignment, as pure functions from one charter to the next. A change that would
+break a rule is a RefusalError that says why; `saying` what is done is the caller's.
+
+What is to happen at all directors alike is set `spread` ahead, when each of them has read the file.
+"""
+
+from dataclasses import dataclass, replace
+
+from . import moves
+from .assignment import digest, drawn, homes
+from .charter import Charter, Limits, Move, Release, Tenant
+
+
+class RefusalError(Exception):
+    """The change can be understood and is not made; the text says why."""
+
+
+@dataclass(slots=True, frozen=True)
+class Spans:
+    """Of a move, ms."""
+
+    warm: float
+    shift: float
+    drain: float
+
+
+def start_move(
+    charter: Charter,
+    name: str,
+    tenants: tuple[str, ...],
+    target: str,
+    now: float,
+    spans: Spans,
+    starts_in: float = 0.0,
+) -> Charter:
+    if name in charter.moves:
+        raise RefusalError(f"there is a move {name} already")
+    if target not in charter.cells:
+        raise RefusalError(f"there is no cell {target}")
+    at = homes(charter)
+    sources = {}
+    for tenant in tenants:
+        if tenant not in charter.tenants:
+            raise RefusalError(f"there is no tenant {tenant}")
+        if (busy := moving(charter, tenant)) is not None:
+            raise RefusalError(f"tenant {tenant} is moved by {busy.name}; abort or end that first")
+        sources[at[tenant]] = tenant
+    if len(sources) != 1:
+        raise RefusalError(
+            "the tenants of one move must stand in one cell, not in " + ", ".join(sorted(sources))
+        )
+    source = next(iter(sources))
+    if source == target:
+        raise RefusalError(f"they stand in {target} already")
+    starts = now + max(starts_in, charter.spread + charter.skew)
+    move = Move(name, tenants, source, target, starts, spans.warm, spans.shift, spans.drain)
+    # no hash moves them
+    people = {tenant: replace(charter.tenants[tenant], cell=source) for tenant in tenants}
+    return replace(charter, moves=charter.moves | {name: move}, tenants=charter.tenants | people)
+
+
+def moving(charter: Charter, tenant: str) -> Move | None:
+    return next((move for move in charter.moves.values() if tenant in move.tenants), None)
+
+
+def _move(charter: Charter, name: str) -> Move:
+    if name not in charter.moves:
+        raise RefusalError(f"there is no move {name}; there are {', '.join(charter.moves) or 'none'}")
+    return charter.moves[name]
+
+
+def _soon(charter: Charter, move: Move, now: float) -> float:
+    return max(move.starts, now + charter.spread + charter.skew)
+
+
+def hold(charter: Charter, name: str, now: float) -> Charter:
+    """The share stays where it is until it is resumed."""
+    move = _move(charter, name)
+    at = _soon(charter, move, now)
+    if move.aborted_at:
+        raise RefusalError(f"move {name} is aborted")
+    if move.held_at and not move.resumed_at:
+        raise RefusalError(f"move {name} is held already")
+    if move.held_at and now < move.resumed_at:
+        raise RefusalError(f"move {name} is just being resumed; wait {move.resumed_at - now:.0f} ms")
+    if move.held_at:  # the pause that is over becomes part of the start
+        move = replace(move, starts=move.starts + move.resumed_at - move.held_at, resumed_at=0.0)
+    if moves.stage(replace(move, held_at=0.0), at) == moves.Stage.DONE:
+        raise RefusalError(f"move {name} is done by then")
+    return replace(charter, moves=charter.moves | {name: replace(move, held_at=at)})
+
+
+def resume(charter: Charter, name: str, now: float) -> Charter:
+    move = _move(charter, name)
+    if not move.held_at or move.resumed_at or move.aborted_at:
+        raise RefusalError(f"move {name} is not held")
+    at = max(move.held_at, _soon(charter, move, now))
+    return replace(charter, moves=charter.moves | {name: replace(move, resumed_at=at)})
+
+
+def abort(charter: Charter, name: str, now: float) -> Charter:
+    """All goes back, as fast as it came. A move that has not begun anywhere is left out at once."""
+    move = _move(charter, name)
+    if move.aborted_at:
+        raise RefusalError(f"move {name} is aborted already")
+    if now + charter.spread + charter.skew < move.starts:
+        return replace(charter, moves={other: held for other, held in charter.moves.items() if other != name})
+    at = _soon(charter, move, now)
+    if moves.stage(move, at) == moves.Stage.DONE:
+        raise RefusalError(f"move {name} is done by then; move the tenants back to {move.source}")
+    return replace(charter, moves=charter.moves | {name: replace(move, aborted_at=at)})
+
+
+def end_moves(charter: Charter, now: float) -> tuple[Charter, list[str]]:
+    """Leaves out moves that are over, once no client's retry can ask for what was: their tenants then stand
+    in the table where they ended. Gives the names of those."""
+    ended, people, left = [], dict(charter.tenants), {}
+    for name, move in charter.moves.items():
+        over = moves.ended_at(move)
+        if over is None or now < over + charter.horizon + charter.spread + charter.skew:
+            left[name] = move
+            continue
+        ended.append(name)
+        cell = move.source if move.aborted_at else move.target
+        people |= {tenant: replace(people[tenant], cell=cell) for tenant in move.tenants}
+    return replace(charter, moves=left, tenants=people), ended
+
+
+def put_tenant(charter: Charter, tenant: Tenant) -> Charter:
+    """Adds a tenant, or changes all of it but its cell, which only a move changes."""
+    if (old := charter.tenants.get(tenant.name)) is not None and old.cell != tenant.cell:
+        raise RefusalError(f"tenant {tenant.name} stands in {old.cell or 'a cell by hash'}; move it")
+    return replace(charter, tenants=charter.tenants | {tenant.name: tenant})
+
+
+def start_release(charter: Charter, release: Release) -> Charter:
+    if release.name in charter.releases:
+        raise RefusalError(f"there is a release {release.name} already")
+    return replace(charter, releases=charter.releases | {release.name: release})
+
+
+def take_back(charter: Charter, name: str) -> Charter:
+    if name not in charter.releases:
+        raise RefusalError(f"there is no release {name}; there are {', '.join(charter.releases) or 'none'}")
+    return replace(
+        charter, releases=charter.releases | {name: replace(charter.releases[name], taken_back=True)}
+    )
+
+
+def keep_release(charter: Charter, name: str) -> Charter:
+    """A release that has proven itself becomes the limits of all tenants of its cells, and is left out."""
+    if name not in charter.releases or charter.releases[name].taken_back:
+        raise RefusalError(f"there is no release {name} in force")
+    release, at = charter.releases[name], homes(charter)
+    cells = {release.canary, *(cell for wave in release.waves for cell in wave)}
+    people = {
+        key: replace(tenant, limits=release.limits) if at.get(key) in cells else tenant
+        for key, tenant in charter.tenants.items()
+    }
+    left = {other: held for other, held in charter.releases.items() if other != name}
+    return replace(charter, releases=left, tenants=people)
+
+
+def explain_tenant(charter: Charter, tenant: str, now: float) -> dict[str, object]:
+    """Why a tenant stands where it does."""
+    if tenant not in charter.tenants:
+        raise RefusalError(
+            f"there is no tenant {tenant}; its lookups are "
+            + (f"{charter.default_tenant}'s" if charter.unknown != "push_back" else "pushed back")
+        )
+    held, home, move = charter.tenants[tenant], homes(charter).get(tenant, ""), moving(charter, tenant)
+    marks = [(cell.name, digest(cell.name), cell.weight) for cell in charter.cells.values() if cell.weight]
+    found: dict[str, object] = {
+        "tenant": tenant,
+        "cell": home,
+        "why": "its own entry" if held.cell else "by hash, within the load bound",
+        "order_by_hash": drawn(digest(tenant), marks),
+        "addresses": list(held.addresses),
+        "groups": [list(group) for group in held.groups],
+        "limits": limits_worded(held.limits),
+    }
+    if move is not None:
+        found["move"] = {
+            "name": move.name,
+            "to": move.target,
+            "stage": moves.stage(move, now).value,
+            "share_over": round(moves.shifted(move, now), 4),
+            "ended_at": moves.ended_at(move),
+        }
+    if home:
+        found["neighbours"] = list(charter.cells[home].neighbours)
+    return found
+
+
+def explain_object(charter: Charter, tenant: str, key: int, now: float) -> dict[str, object]:
+    """In which cell a tenant's object stands now."""
+    found = explain_tenant(charter, tenant, now)
+    move = moving(charter, tenant)
+    if move is not None and moves.over(move, key, moves.shifted(move, now)):
+        found["cell"], found["why"] = move.target, f"gone over with move {move.name}"
+    return {"object": f"{key:016x}"} | found
+
+
+def limits_worded(limits: Limits) -> dict[str, float]:
+    return {name: value for name in Limits.__dataclass_fields__ if (value := getattr(limits, name))}
--- a/mulleinrelay/cells/charter.py
+++ b/mulleinrelay/cells/charter.py
@@ -58,6 +58,7 @@
     drain_for: float
     warm_share: float = 0.05
     held_at: float = 0.0  # 0: not held
+    resumed_at: float = 0.0  # 0: held for good
     aborted_at: float = 0.0  # 0: not aborted
 
 
--- a/mulleinrelay/cells/moves.py
+++ b/mulleinrelay/cells/moves.py
@@ -57,7 +57,12 @@
 
 
 def _frozen(move: Move, now: float) -> float:
-    return min(now, move.held_at) if move.held_at else now
+    """The time by the move's own clock, which stands while it is held."""
+    if not move.held_at or now < move.held_at:
+        return now
+    if not move.resumed_at or now < move.resumed_at:
+        return move.held_at
+    return now - (move.resumed_at - move.held_at)
 
 
 def _back_for(move: Move) -> float:
@@ -73,9 +78,26 @@
 
 
 def done_at(move: Move) -> float:
+    """When it is done, by its own clock."""
     return move.starts + move.warm_for + move.shift_for + move.drain_for
 
 
+def ended_at(move: Move) -> float | None:
+    """When it is done or all has gone back; None: held."""
+    if move.aborted_at:
+        return move.aborted_at + shifted(move, move.aborted_at) * _back_for(move)
+    if not move.held_at or done_at(move) <= move.held_at:
+        return done_at(move)
+    return done_at(move) + move.resumed_at - move.held_at if move.resumed_at else None
+
+
+def same_course(one: Move, other: Move, now: float) -> bool:
+    """Whether both are the same move, at the same point now; what is still to come may differ."""
+    alike = ("tenants", "source", "target", "warm_for", "shift_for", "drain_for", "warm_share")
+    return (all(getattr(one, name) == getattr(other, name) for name in alike)
+            and abs(shifted(one, now) - shifted(other, now)) < 1e-9)
+
+
 def stage(move: Move, now: float) -> Stage:
     if move.aborted_at and now >= move.aborted_at:
         if _frozen(move, move.aborted_at) >= done_at(move):
@@ -103,7 +125,7 @@
 def between(move: Move, key: int, first: float, last: float) -> tuple[bool, bool]:
     """Whether the object may have stood in (the old, the new) cell at some time from `first` to `last`."""
     shares = [shifted(move, at) for at in (first, last)]
-    for turn in (move.aborted_at, move.held_at):  # the share turns there, and at no other time
+    for turn in (move.aborted_at, move.held_at, move.resumed_at):  # the share turns there, at no other time
         if turn and first < turn < last:
             shares.append(shifted(move, turn))
     return not over(move, key, min(shares)), over(move, key, max(shares))
--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -9,7 +9,7 @@
 from ..interface import PURE, Pool, Purse, UseCase
 from . import moves, reserve
 from .assignment import caches_of, homes, shuffled
-from .charter import Cell, Charter, Move
+from .charter import Cell, Charter, CharterError, Move
 from .receipts import Ledger, Way, way
 from .reserve import Standing
 
@@ -35,6 +35,16 @@
     guest_of: str = ""
 
 
+def _settled(now: float, home: str, move: Move | None) -> str | None:
+    """The one cell in which all of a tenant's objects stand; None: a move has them in two."""
+    if move is None:
+        return home
+    stage = moves.stage(move, now)
+    if stage in (moves.Stage.PLANNED, moves.Stage.ABORTED):
+        return move.source
+    return move.target if stage == moves.Stage.DONE else None
+
+
 class Placement:
     def __init__(self, charter: Charter, may_pass_by: bool) -> None:
         self.may_pass_by = may_pass_by
@@ -45,7 +55,6 @@
         self.cell_unsettled: dict[str, float] = {}  # cells that were lost or came back, and until when
         self.homes: dict[str, str] = {}
         self.purses: dict[str, Purse] = {}
-        self.charter = charter
         self._take_over(charter)
 
     # What comes in
@@ -53,28 +62,45 @@
     def renew(self, now: float, charter: Charter) -> list[str]:
         """A new version; gives words on what changed its mode. Tenants whose cell it changes without a move
         change at once, which is said."""
-        before, old_moves = dict(self.homes), dict(self.moving)
-        self.charter = charter
+        before = {name: (home, self.moving.get(name)) for name, home in self.homes.items()}
         self._take_over(charter)
         until = now + charter.horizon + charter.skew + charter.spread
-        jumped = [name for name, home in self.homes.items()
-                  if name in before and before[name] != home and name not in old_moves
-                  and name not in self.moving]
+        jumped = [
+            name
+            for name in self.homes
+            if name in before and self._jumps(now, *before[name], self.homes[name], self.moving.get(name))
+        ]
         self.unsettled = {name: end for name, end in self.unsettled.items() if now < end}
         self.unsettled |= dict.fromkeys(jumped, until)
         words = [f"{len(jumped)} tenants change cells without a move"] if jumped else []
         return words + self._stand(now)
 
+    def _jumps(self, now: float, home: str, old: Move | None, new_home: str, new: Move | None) -> bool:
+        """Whether a tenant's objects may change cells other than by the course of a move."""
+        if old is not None and new is not None and moves.same_course(old, new, now):
+            return False
+        before, after = (_settled(now, at, move) for at, move in ((home, old), (new_home, new)))
+        return before is None or before != after
+
     def listed(self, now: float, caches: Iterable[tuple[str, Any, float]]) -> list[str]:
         """The ready caches of this location: name, node, warmth (0 to 1). Gives words on changes of mode."""
         self.caches = sorted(caches, key=lambda entry: entry[0])
         return self._stand(now)
 
     def _take_over(self, charter: Charter) -> None:
-        self.homes = homes(charter)
+        found = homes(charter)
+        for name, move in charter.moves.items():
+            for tenant in move.tenants:
+                if found.get(tenant) != move.source:
+                    raise CharterError(
+                        f"[move {name}] from: tenant {tenant} stands in "
+                        f"{found.get(tenant) or 'no cell'}, not in {move.source}"
+                    )
+        self.charter, self.homes = charter, found
         self.moving = {tenant: move for move in charter.moves.values() for tenant in move.tenants}
-        self.standings = {name: self.standings.get(name) or Standing(cell)
-                          for name, cell in charter.cells.items()}
+        self.standings = {
+            name: self.standings.get(name) or Standing(cell) for name, cell in charter.cells.items()
+        }
         for name, standing in self.standings.items():
             standing.cell = charter.cells[name]
         self.pools: dict[tuple[str, str, str], Pool] = {}
@@ -90,14 +116,16 @@
             word = standing.told(now, len(here), sum(warmth[cache] for cache in here))
             if word:
                 words.append(f"cell {name} {word}")
-                self.cell_unsettled[name] = (now + self.charter.horizon + standing.cell.return_for
-                                             + self.charter.skew)
+                self.cell_unsettled[name] = (
+                    now + self.charter.horizon + standing.cell.return_for + self.charter.skew
+                )
         return words
 
     # Where to
 
-    def spot(self, now: float, tenant: str, key: int, use_case: UseCase, receipt: str, repeated: bool
-             ) -> Spot | Nowhere:
+    def spot(
+        self, now: float, tenant: str, key: int, use_case: UseCase, receipt: str, repeated: bool
+    ) -> Spot | Nowhere:
         home = self.homes.get(tenant)
         if home is None:
             return Nowhere.HOMELESS
@@ -118,22 +146,36 @@
             kept = use_case.memory_span + use_case.client_timeout + self.charter.horizon
             self.ledger.note(tenant, receipt, spot.cell, now, kept)
 
-    def _doubtful(self, now: float, tenant: str, cell: str, repeated: bool, everywhere: bool,
-                  known: str | None) -> bool:
+    def _doubtful(
+        self, now: float, tenant: str, cell: str, repeated: bool, everywhere: bool, known: str | None
+    ) -> bool:
         """Whether a repeat may have run in a cell that nothing here tells."""
         if everywhere or not repeated or known is not None:
             return False
         return now < self.unsettled.get(tenant, 0.0) or now < self.cell_unsettled.get(cell, 0.0)
 
-    def _moving(self, now: float, tenant: str, key: int, move: Move, use_case: UseCase, known: str | None,
-                repeated: bool, everywhere: bool) -> Spot | Nowhere:
+    def _moving(
+        self,
+        now: float,
+        tenant: str,
+        key: int,
+        move: Move,
+        use_case: UseCase,
+        known: str | None,
+        repeated: bool,
+        everywhere: bool,
+    ) -> Spot | Nowhere:
         charter, target = self.charter, self.standings[move.target]
         to = way(move, key, repeated, everywhere, known, now, charter.horizon, charter.skew, charter.spread)
         if to == Way.NOWHERE:
             return Nowhere.UNPROVEN
         where = moves.stage(move, now)
-        if to == Way.NEW and where in (moves.Stage.WARM, moves.Stage.SHIFT, moves.Stage.DRAIN,
-                                       moves.Stage.BACK):
+        if to == Way.NEW and where in (
+            moves.Stage.WARM,
+            moves.Stage.SHIFT,
+            moves.Stage.DRAIN,
+            moves.Stage.BACK,
+        ):
             if not reserve.at_home(key, target.home_share(now)):
                 to = Way.OLD  # the receiving cell fell away: the old one takes its tenants as before
                 if repeated and not everywhere:
@@ -146,8 +188,9 @@
             other = ""
         return self._at(now, tenant, key, cell, other, use_case, repeated and not everywhere)
 
-    def _at(self, now: float, tenant: str, key: int, cell: str, other: str, use_case: UseCase,
-            bound: bool) -> Spot | Nowhere:
+    def _at(
+        self, now: float, tenant: str, key: int, cell: str, other: str, use_case: UseCase, bound: bool
+    ) -> Spot | Nowhere:
         """`other`: the other side of a move. `bound`: it may go nowhere else."""
         standing = self.standings[cell]
         if use_case.never_kept and self.may_pass_by:  # needs no cache
@@ -169,8 +212,9 @@
             caches = self._nodes(tenant, self.charter.cells[cell])
             aside = self._nodes(tenant, self.charter.cells[other]) if other else {}
             old = bool(other) and self._is_source(tenant, other)
-            pool = self.pools[tenant, cell, other] = Pool(caches, aside if old else {}, aside,
-                                                          self.purse(tenant))
+            pool = self.pools[tenant, cell, other] = Pool(
+                caches, aside if old else {}, aside, self.purse(tenant)
+            )
         return pool
 
     def _is_source(self, tenant: str, cell: str) -> bool:
--- a/mulleinrelay/cells/reading.py
+++ b/mulleinrelay/cells/reading.py
@@ -45,8 +45,9 @@
             raise self.fault(key, "the key is missing")
         return value.strip()
 
-    def number(self, key: str, default: float | None = None, most: float = LATEST,
-               least: float = 0.0) -> float:
+    def number(
+        self, key: str, default: float | None = None, most: float = LATEST, least: float = 0.0
+    ) -> float:
         text = self.text(key, None if default is None else repr(default))
         try:
             value = float(text)
@@ -118,22 +119,31 @@
         kind, _, name = title.partition(" ")
         name = name.strip()
         if kind not in kinds or not NAME.fullmatch(name):
-            raise CharterError(f"[{title}]: an unknown section; known are assignment, limits, cell NAME, "
-                               "tenant NAME, move NAME, release NAME")
+            raise CharterError(
+                f"[{title}]: an unknown section; known are assignment, limits, cell NAME, "
+                "tenant NAME, move NAME, release NAME"
+            )
         if name in kinds[kind]:
             raise CharterError(f"[{title}]: stands there twice")
         keys = Keys(title, held)
         kinds[kind][name] = readers[kind](keys, name, limits)
         keys.done()
     charter = Charter(
-        version=head.whole("version"), written=head.number("written"), limits=limits,
-        cells=kinds["cell"], tenants=kinds["tenant"], moves=kinds["move"], releases=kinds["release"],
+        version=head.whole("version"),
+        written=head.number("written"),
+        limits=limits,
+        cells=kinds["cell"],
+        tenants=kinds["tenant"],
+        moves=kinds["move"],
+        releases=kinds["release"],
         how=head.choice("how", (RENDEZVOUS, TABLE), RENDEZVOUS),
         load_bound=head.number("load_bound", 1.25, 100.0, 1.0),
         default_tenant=head.text("default_tenant", ""),
         unknown=head.choice("unknown", (TO_DEFAULT, PUSH_BACK), TO_DEFAULT),
-        spread=head.number("spread_ms", 5_000.0), skew=head.number("skew_ms", 500.0),
-        horizon=head.number("horizon_ms", 12_000.0))
+        spread=head.number("spread_ms", 5_000.0),
+        skew=head.number("skew_ms", 500.0),
+        horizon=head.number("horizon_ms", 12_000.0),
+    )
     head.done()
     agree(charter)
     return charter
@@ -144,17 +154,30 @@
 
 def _limits(keys: Keys, default: Limits, whole: bool = True) -> Limits:
     """`whole`: nothing else stands in this section."""
-    found = Limits(*(keys.whole(name, getattr(default, name)) if name == "connections"
-                     else keys.number(name, float(getattr(default, name))) for name in LIMIT_KEYS))
+    found = Limits(
+        *(
+            keys.whole(name, getattr(default, name))
+            if name == "connections"
+            else keys.number(name, float(getattr(default, name)))
+            for name in LIMIT_KEYS
+        )
+    )
     if whole:
         keys.done()
     return found
 
 
 def _cell(keys: Keys, name: str, limits: Limits) -> Cell:
-    return Cell(name, keys.number("weight", 1.0, 1e6), keys.names("caches"), keys.whole("shuffle", 0, 10_000),
-                keys.names("neighbours"), keys.number("reserve", 0.0, 1.0),
-                keys.number("return_ms", 10_000.0), _limits(keys, Limits(), False))
+    return Cell(
+        name,
+        keys.number("weight", 1.0, 1e6),
+        keys.names("caches"),
+        keys.whole("shuffle", 0, 10_000),
+        keys.names("neighbours"),
+        keys.number("reserve", 0.0, 1.0),
+        keys.number("return_ms", 10_000.0),
+        _limits(keys, Limits(), False),
+    )
 
 
 def _tenant(keys: Keys, name: str, limits: Limits) -> Tenant:
@@ -171,23 +194,48 @@
         if not first <= last <= GROUP_MOST:
             raise keys.fault("groups", f"{part!r} is no group or range of groups from 0 to {GROUP_MOST}")
         groups.append((first, last))
-    return Tenant(name, keys.text("cell", ""), keys.number("weight", 1.0, 1e6, 1e-6), addresses,
-                  tuple(groups), _limits(keys, limits, False))
+    return Tenant(
+        name,
+        keys.text("cell", ""),
+        keys.number("weight", 1.0, 1e6, 1e-6),
+        addresses,
+        tuple(groups),
+        _limits(keys, limits, False),
+    )
 
 
 def _move(keys: Keys, name: str, _: Limits) -> Move:
-    return Move(name, keys.names("tenants"), keys.text("from"), keys.text("to"), keys.number("starts"),
-                keys.number("warm_ms"), keys.number("shift_ms"), keys.number("drain_ms"),
-                keys.number("warm_share", 0.05, 1.0), keys.number("held_at", 0.0),
-                keys.number("aborted_at", 0.0))
+    return Move(
+        name,
+        keys.names("tenants"),
+        keys.text("from"),
+        keys.text("to"),
+        keys.number("starts"),
+        keys.number("warm_ms"),
+        keys.number("shift_ms"),
+        keys.number("drain_ms"),
+        keys.number("warm_share", 0.05, 1.0),
+        keys.number("held_at", 0.0),
+        keys.number("resumed_at", 0.0),
+        keys.number("aborted_at", 0.0),
+    )
 
 
 def _release(keys: Keys, name: str, limits: Limits) -> Release:
-    waves = tuple(tuple(wave.replace(",", " ").split()) for wave in keys.text("waves", "").split(";")
-                  if wave.strip())
-    return Release(name, keys.text("canary"), waves, keys.number("starts"), keys.number("wave_ms"),
-                   _limits(keys, limits, False), keys.number("drop_most", 0.03, 1.0),
-                   keys.number("slower_most", 1.5, 100.0, 1.0), keys.flag("taken_back", False))
+    waves = tuple(
+        tuple(wave.replace(",", " ").split()) for wave in keys.text("waves", "").split(";") if wave.strip()
+    )
+    return Release(
+        name,
+        keys.text("canary"),
+        waves,
+        keys.number("starts"),
+        keys.number("wave_ms"),
+        _limits(keys, limits, False),
+        keys.number("drop_most", 0.03, 1.0),
+        keys.number("slower_most", 1.5, 100.0, 1.0),
+        keys.flag("taken_back", False),
+    )
 
 
 def agree(charter: Charter) -> None:
@@ -247,40 +295,101 @@
             if tenant in moving:
                 raise CharterError(f"[{title}] tenants: {tenant} is moved by {moving[tenant]} already")
             moving[tenant] = name
-        for key, at in (("held_at", move.held_at), ("aborted_at", move.aborted_at)):
-            if at and at < move.starts:
-                raise CharterError(f"[{title}] {key}: before the move starts; leave the move out instead")
+        for key, at, least in (
+            ("held_at", move.held_at, move.starts),
+            ("aborted_at", move.aborted_at, move.starts),
+            ("resumed_at", move.resumed_at, move.held_at or LATEST),
+        ):
+            if at and at < least:
+                raise CharterError(f"[{title}] {key}: before the move starts or was held")
 
 
 def write(charter: Charter) -> str:
     """The text of a charter; `read` gives an equal one."""
     out = ["; written by `mulleinrelay cells`; changed by hand only with a higher version", "[assignment]"]
-    out += _lines({"form": FORM, "version": charter.version, "written": charter.written, "how": charter.how,
-                   "load_bound": charter.load_bound, "default_tenant": charter.default_tenant,
-                   "unknown": charter.unknown, "spread_ms": charter.spread, "skew_ms": charter.skew,
-                   "horizon_ms": charter.horizon})
+    out += _lines(
+        {
+            "form": FORM,
+            "version": charter.version,
+            "written": charter.written,
+            "how": charter.how,
+            "load_bound": charter.load_bound,
+            "default_tenant": charter.default_tenant,
+            "unknown": charter.unknown,
+            "spread_ms": charter.spread,
+            "skew_ms": charter.skew,
+            "horizon_ms": charter.horizon,
+        }
+    )
     out += ["", "[limits]", *_lines(_of_limits(charter.limits))]
     for name, cell in charter.cells.items():
-        out += ["", f"[cell {name}]", *_lines({
-            "weight": cell.weight, "caches": cell.caches, "shuffle": cell.shuffle,
-            "neighbours": cell.neighbours, "reserve": cell.reserve, "return_ms": cell.return_for}
-            | _of_limits(cell.limits))]
+        out += [
+            "",
+            f"[cell {name}]",
+            *_lines(
+                {
+                    "weight": cell.weight,
+                    "caches": cell.caches,
+                    "shuffle": cell.shuffle,
+                    "neighbours": cell.neighbours,
+                    "reserve": cell.reserve,
+                    "return_ms": cell.return_for,
+                }
+                | _of_limits(cell.limits)
+            ),
+        ]
     for name, tenant in charter.tenants.items():
         groups = tuple(f"{first}-{last}" if first != last else str(first) for first, last in tenant.groups)
-        out += ["", f"[tenant {name}]", *_lines({
-            "cell": tenant.cell, "weight": tenant.weight, "addresses": tenant.addresses, "groups": groups}
-            | _of_limits(tenant.limits))]
+        out += [
+            "",
+            f"[tenant {name}]",
+            *_lines(
+                {
+                    "cell": tenant.cell,
+                    "weight": tenant.weight,
+                    "addresses": tenant.addresses,
+                    "groups": groups,
+                }
+                | _of_limits(tenant.limits)
+            ),
+        ]
     for name, move in charter.moves.items():
-        out += ["", f"[move {name}]", *_lines({
-            "tenants": move.tenants, "from": move.source, "to": move.target, "starts": move.starts,
-            "warm_ms": move.warm_for, "shift_ms": move.shift_for, "drain_ms": move.drain_for,
-            "warm_share": move.warm_share, "held_at": move.held_at, "aborted_at": move.aborted_at})]
+        out += [
+            "",
+            f"[move {name}]",
+            *_lines(
+                {
+                    "tenants": move.tenants,
+                    "from": move.source,
+                    "to": move.target,
+                    "starts": move.starts,
+                    "warm_ms": move.warm_for,
+                    "shift_ms": move.shift_for,
+                    "drain_ms": move.drain_for,
+                    "warm_share": move.warm_share,
+                    "held_at": move.held_at,
+                    "resumed_at": move.resumed_at,
+                    "aborted_at": move.aborted_at,
+                }
+            ),
+        ]
     for name, release in charter.releases.items():
-        out += ["", f"[release {name}]", *_lines({
-            "canary": release.canary, "waves": "; ".join(" ".join(wave) for wave in release.waves),
-            "starts": release.starts, "wave_ms": release.wave_for, "drop_most": release.drop_most,
-            "slower_most": release.slower_most, "taken_back": "yes" if release.taken_back else "no"}
-            | _of_limits(release.limits))]
+        out += [
+            "",
+            f"[release {name}]",
+            *_lines(
+                {
+                    "canary": release.canary,
+                    "waves": "; ".join(" ".join(wave) for wave in release.waves),
+                    "starts": release.starts,
+                    "wave_ms": release.wave_for,
+                    "drop_most": release.drop_most,
+                    "slower_most": release.slower_most,
+                    "taken_back": "yes" if release.taken_back else "no",
+                }
+                | _of_limits(release.limits)
+            ),
+        ]
     return "\n".join(out) + "\n"
 
 
--- a/mulleinrelay/cells/receipts.py
+++ b/mulleinrelay/cells/receipts.py
@@ -56,7 +56,8 @@
         return Way.NEW if here else Way.OLD
     first = now - horizon - skew
     old, new = moves.between(move, key, first, now + skew)
-    for told in (move.starts, move.held_at, move.aborted_at):  # what the older version did for a while yet
+    # what the older version did for a while yet
+    for told in (move.starts, move.held_at, move.resumed_at, move.aborted_at):
         if spread and told and first < told + spread and now + skew > told:
             was = _as_before(move, told)
             stayed, went = moves.between(was, key, max(first, told), min(now + skew, told + spread)) \
@@ -74,6 +75,8 @@
         return None
     if told == move.aborted_at:
         changes["aborted_at"] = 0.0
+    elif told == move.resumed_at:
+        changes["resumed_at"] = 0.0
     elif told == move.held_at:
-        changes["held_at"] = 0.0
+        changes["held_at"] = changes["resumed_at"] = 0.0
     return Move(**{name: getattr(move, name) for name in Move.__dataclass_fields__} | changes)
--- /dev/null
+++ b/mulleinrelay/lab/commands.py
@@ -0,0 +1,74 @@
+"""`mulleinrelay lab`: plays a scenario on loopback and says what it came to."""
+
+import sys
+
+import click
+import orjson
+
+from ..cells.charter import CharterError
+from .play import Lab
+from .scenario import read_scenario
+
+
+def live(lab: Lab, since: float) -> None:
+    shares = " ".join(
+        f"{one.demand.tenant} {one.share(max(0.0, since - 3.0), since - 1.0):.2f}" for one in lab.terminals
+    )
+    busy = max(lab.fleet.nodes.values(), key=lambda node: node.in_window)
+    sys.stderr.write(f"\r{since:6.1f} s  satisfied: {shares}  busiest {busy.spec.name}   ")
+    sys.stderr.flush()
+
+
+@click.command()
+@click.argument("path", metavar="SCENARIO.ini")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
+@click.option("--quiet", is_flag=True, help="No live figures.")
+@click.option("--keep", metavar="FOLDER", help="Where configurations, logs and records are left.")
+def lab(path: str, as_json: bool, quiet: bool, keep: str | None) -> None:
+    """Play SCENARIO.ini: stand-ins, directors and load on loopback; ends by itself.
+
+    All servers and clients are stand-ins of ours: figures tell of directors before these alone. Exit codes: 0
+    played, 1 it could not be, 2 the scenario is wrong."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            scenario = read_scenario(file.read())
+    except (CharterError, UnicodeDecodeError) as wrong:
+        click.echo(f"mulleinrelay: {path}: {wrong}", err=True)
+        sys.exit(2)
+    except OSError as wrong:
+        click.echo(f"mulleinrelay: {path}: {wrong.strerror}", err=True)
+        sys.exit(2)
+    if keep is not None:
+        import os
+
+        os.makedirs(keep, exist_ok=True)
+    try:
+        found = Lab(scenario, keep).run(None if quiet or as_json else live)
+    except RuntimeError as wrong:
+        click.echo(f"mulleinrelay: {wrong}", err=True)
+        sys.exit(1)
+    if as_json:
+        return click.echo(orjson.dumps(found))
+    if not quiet:
+        click.echo("", err=True)
+    click.echo(
+        f"{'tenant':<12} {'asked':>7} {'share':>6} {'p50 ms':>7} {'p99 ms':>7} {'pushed':>7} {'broken':>7}"
+    )
+    for name, tenant in found["tenants"].items():
+        click.echo(
+            f"{name:<12} {tenant.get('asked', 0):>7} {tenant['share']:>6.3f} {tenant['p50_ms']:>7.1f} "
+            f"{tenant['p99_ms']:>7.1f} {tenant.get('pushed_back', 0):>7} {tenant.get('broken_off', 0):>7}"
+        )
+    for name, node in found["nodes"].items():
+        click.echo(
+            f"{name:<12} peak load {node['peak_load']:.2f}, hits {node.get('hits', 0)}, fills "
+            f"{node.get('fills', 0)}{'' if node['alive'] else ', DEAD'}"
+        )
+    click.echo(
+        f"origin fetches {found['origin_fetches']}, orders run {found['orders_run']}, run twice "
+        f"{found['orders_run_twice']}, no answer {found['total']['no_answer']}, answered twice "
+        f"{found['total']['answers_twice']}, stale {found['stale']}, CPU a lookup "
+        f"{found['cpu_ms_a_lookup']} ms"
+    )
+    for deed in found["deeds"]:
+        click.echo(f"{deed['at']:8.2f} s {deed['name']}: {deed['what']} {deed['wrong']}")
--- /dev/null
+++ b/mulleinrelay/lab/play.py
@@ -0,0 +1,327 @@
+"""Plays a scenario: the stand-ins here, each director a process of its own."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from ..cells import changes, store
+from ..cells.charter import Charter, Tenant
+from ..cells.reading import write
+from ..standins.clients import Terminals
+from ..standins.fleet import BOX, ORIGIN, PARENT, Fleet, Node, Spec, now_ms
+from ..standins.servers import World
+from .scenario import Deed, Scenario
+
+READY_WITHIN = 15.0  # s
+MEMORY_MB, SOCKETS = 128, 1024
+
+
+def settings(scenario: Scenario) -> dict[str, Any]:
+    """The start settings that a platform would give."""
+    case = {"idempotency": "safe", "slo": 400.0, "deadline": 3000.0, "memorySpan": 6000.0, "group": "all"}
+    return {
+        "allowed": {
+            "cancel": True,
+            "connIdle": 30000.0,
+            "connectTimeout": 400.0,
+            "maxAttempts": 6,
+            "maxRetryAfter": 1000.0,
+            "maxStreams": 64,
+            "mayDuplicate": True,
+            "mayProbe": True,
+            "retryAfter": True,
+        },
+        "azs": ["hub", "edge"],
+        "shapes": [BOX, PARENT, ORIGIN],
+        "balancers": scenario.directors,
+        "myZone": 1,
+        "registryMode": "automatic",
+        "weights": "nominal",
+        "classes": [case | {"name": "pages"}, case | {"name": "order", "idempotency": "keyed"}],
+        "domain": {
+            "collapses": True,
+            "countByZone": [0, scenario.directors],
+            "freshFor": [0.0, 0.0],
+            "mayPassBy": True,
+            "midKind": 1,
+            "neverKept": [False, True],
+            "oneFlowKbPerS": 8000.0,
+            "parentStartsAt": scenario.cold_from,
+            "parentWarmsIn": scenario.cold_for or 1.0,
+            "peersFill": "location",
+            "purgeTakes": 1000.0,
+            "storeKind": 2,
+        },
+        "report": {"how": "none", "columns": []},
+        "rules": {"coldFrom": scenario.cold_from, "cold": scenario.cold_for or 1.0, "overloadFor": 1000.0},
+    }
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def fleet_of(scenario: Scenario) -> Fleet:
+    specs = [
+        Spec(
+            name,
+            BOX,
+            "edge",
+            scenario.capacity,
+            scenario.fill_cost,
+            scenario.hit_delay,
+            cold_from=scenario.cold_from,
+            cold_for=scenario.cold_for,
+            falls=scenario.falls,
+        )
+        for name in scenario.caches
+    ]
+    specs += [
+        Spec(f"p-{place}", PARENT, "hub", 10.0 * scenario.capacity, 1.0, scenario.fill_delay)
+        for place in range(1, scenario.parents + 1)
+    ]
+    specs.append(Spec("o-1", ORIGIN, "hub", scenario.origin_capacity, 1.0, scenario.origin_delay))
+    return Fleet({spec.name: Node(spec) for spec in specs}, {"order"})
+
+
+class Director:
+    """One director as a process."""
+
+    def __init__(self, name: str, folder: str, whole: dict[str, Any], own: str | None, log_path: str) -> None:
+        self.address = ("127.0.0.1", free_port())
+        path = os.path.join(folder, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(whole | {"name": name, "listen": f"127.0.0.1:{self.address[1]}"}, file)
+        self.log = open(log_path, "wb")  # closed with the process
+        command = [sys.executable, "-m", "mulleinrelay", "serve", "--config", path]
+        here = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+        environment = os.environ | {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": here}
+        environment.pop("MULLEINRELAY_CELLS", None)
+        self.process = subprocess.Popen(
+            command + (["--cells", own] if own else []), stderr=self.log, stdout=self.log, env=environment
+        )
+
+    def ready(self) -> bool:
+        try:
+            socket.create_connection(self.address, timeout=0.2).close()
+            return True
+        except OSError:
+            if self.process.poll() is not None:
+                raise RuntimeError(
+                    f"a director ended with {self.process.returncode}; see {self.log.name}"
+                ) from None
+            return False
+
+    def cpu(self) -> float:
+        """Seconds of CPU so far; 0 once it has ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+                held = file.read().rpartition(")")[2].split()
+            return (int(held[11]) + int(held[12])) / os.sysconf("SC_CLK_TCK")
+        except OSError:
+            return 0.0
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            self.process.wait(8.0)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait(2.0)
+        self.log.close()
+
+
+class Lab:
+    """One play of a scenario. `run` gives its figures; `live` is called twice a second meanwhile."""
+
+    def __init__(self, scenario: Scenario, folder: str | None = None) -> None:
+        self.scenario = scenario
+        self.kept = tempfile.TemporaryDirectory(prefix="mulleinrelay-lab-") if folder is None else None
+        self.folder = folder or self.kept.name
+        self.assignment = os.path.join(self.folder, "assignment.ini")
+        self.fleet = fleet_of(scenario)
+        self.directors: list[Director] = []
+        self.terminals: list[Terminals] = []
+        self.deeds_done: list[dict[str, Any]] = []
+        self.began = 0.0
+
+    def run(
+        self,
+        live: Callable[["Lab", float], None] | None = None,
+        before: Callable[["Lab"], None] | None = None,
+    ) -> dict[str, Any]:
+        self.world = World(self.fleet)
+        try:
+            self._start_directors()
+            self._start_load()
+            if before is not None:
+                before(self)
+            cpu = [director.cpu() for director in self.directors]
+            deeds = threading.Thread(target=self._do, daemon=True)
+            deeds.start()
+            while (since := (now_ms() - self.began) / 1000.0) < self.scenario.seconds:
+                time.sleep(min(0.5, max(0.01, self.scenario.seconds - since)))
+                for terminals in self.terminals:
+                    terminals.sweep()
+                if live is not None:
+                    live(self, since)
+            for terminals in self.terminals:
+                terminals.end()
+            time.sleep(max(demand.patience for demand in self.scenario.demands) / 1000.0 + 0.1)
+            for terminals in self.terminals:
+                terminals.sweep()
+            used = [director.cpu() - first for director, first in zip(self.directors, cpu, strict=True)]
+            return self.summary(sum(used))
+        finally:
+            for terminals in self.terminals:
+                terminals.ended.set()
+                terminals.close()
+            for director in self.directors:
+                director.end()
+            self.world.close()
+            if self.kept is not None:
+                self.kept.cleanup()
+
+    def _start_directors(self) -> None:
+        scenario, own = self.scenario, None
+        if scenario.cells:
+            with open(self.assignment, "w", encoding="utf-8") as file:
+                file.write(write(scenario.charter))
+            own = os.path.join(self.folder, "cells.ini")
+            with open(own, "w", encoding="utf-8") as file:
+                file.write(
+                    "[cells]\nenabled = yes\nassignment = assignment.ini\nread_every_ms = 100\n"
+                    f"records = records\n[director]\nopen_most = {scenario.open_most}\n"
+                    f"rate = {scenario.rate}\n"
+                )
+        host, port = self.world.stream.address
+        for place in range(scenario.directors):
+            whole = {
+                "seed": f"{scenario.seed + place:x}",
+                "bus": f"{host}:{port}",
+                "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS},
+                "known": {
+                    "offset": 1,
+                    "batch": [json.loads(self.world.stream.events[0].partition(b"data: ")[2])],
+                },
+                "settings": settings(scenario),
+            }
+            self.directors.append(
+                Director(f"n{place}", self.folder, whole, own, os.path.join(self.folder, f"n{place}.log"))
+            )
+        end = time.monotonic() + READY_WITHIN
+        while not all([director.ready() for director in self.directors]):
+            if time.monotonic() > end:
+                raise RuntimeError(f"a director was not ready within {READY_WITHIN:.0f} s")
+            time.sleep(0.05)
+
+    def _start_load(self) -> None:
+        self.began = now_ms() + 200.0
+        addresses = [director.address for director in self.directors]
+        self.terminals = [
+            Terminals(demand, addresses, self.scenario.seed, self.began) for demand in self.scenario.demands
+        ]
+        for terminals in self.terminals:
+            terminals.begin()
+
+    # Deeds
+
+    def _do(self) -> None:
+        for deed in self.scenario.deeds:
+            wait = self.began + deed.at * 1000.0 - now_ms()
+            if wait > 0.0:
+                time.sleep(wait / 1000.0)
+            wrong = ""
+            try:
+                self._deed(deed)
+            except Exception as broken:  # told in the summary; the play goes on
+                wrong = str(broken)
+            self.deeds_done.append(
+                {
+                    "name": deed.name,
+                    "what": deed.what,
+                    "wrong": wrong,
+                    "at": round((now_ms() - self.began) / 1000.0, 3),
+                }
+            )
+
+    def _deed(self, deed: Deed) -> None:
+        if deed.what == "move":
+            spans = changes.Spans(deed.warm, deed.shift, deed.drain)
+            self.change(
+                lambda old: changes.start_move(old, deed.name, deed.tenants, deed.target, now_ms(), spans)
+            )
+        elif deed.what == "abort":
+            self.change(lambda old: changes.abort(old, deed.target, now_ms()))
+        elif deed.what == "cut":
+            self.change(lambda old: cut_over(old, deed.tenants, deed.target))
+        else:
+            self.world.strike(deed.what, deed.node)
+
+    def change(self, make: Callable[[Charter], Charter]) -> Charter:
+        with store.sole_writer(self.assignment):
+            old = store.load(self.assignment)
+            return store.save(self.assignment, make(old), round(now_ms()), old.version)
+
+    # What it came to
+
+    def summary(self, cpu: float) -> dict[str, Any]:
+        fleet, seconds = self.fleet, self.scenario.seconds
+        tenants = {}
+        for terminals in self.terminals:
+            counts = terminals.tally.counts
+            tenants[terminals.demand.tenant] = {
+                "share": round(terminals.share(0.0, seconds), 4),
+                "p50_ms": round(terminals.percentile(0.5, 0.0, seconds), 1),
+                "p99_ms": round(terminals.percentile(0.99, 0.0, seconds), 1),
+                **{what.replace(" ", "_"): count for what, count in sorted(counts.items())},
+            }
+        total = {
+            what: sum(tenant.get(what, 0) for tenant in tenants.values())
+            for what in (
+                "asked",
+                "tries",
+                "satisfied",
+                "pushed_back",
+                "broken_off",
+                "bad",
+                "no_answer",
+                "answers_twice",
+                "answers_late",
+                "cut_off",
+            )
+        }
+        answered = total["satisfied"] + total["pushed_back"] + total["broken_off"]
+        return {
+            "tenants": tenants,
+            "total": total,
+            "cpu_s": round(cpu, 3),
+            "cpu_ms_a_lookup": round(1000.0 * cpu / answered, 4) if answered else None,
+            "origin_fetches": fleet.origin_fetches,
+            "orders_run": len(fleet.effects),
+            "orders_run_twice": sum(times > 1 for times in fleet.effects.values()),
+            "stale": fleet.stale,
+            "nodes": {
+                name: {"peak_load": round(node.peak, 3), **dict(node.counts), "alive": node.alive}
+                for name, node in fleet.nodes.items()
+            },
+            "deeds": self.deeds_done,
+        }
+
+
+def cut_over(charter: Charter, tenants: tuple[str, ...], target: str) -> Charter:
+    """The tenants stand in another cell at once: what a move is measured against."""
+    people: dict[str, Tenant] = {name: replace(charter.tenants[name], cell=target) for name in tenants}
+    return replace(charter, tenants=charter.tenants | people)
--- /dev/null
+++ b/mulleinrelay/lab/scenario.py
@@ -0,0 +1,150 @@
+"""What a scenario file says; pure. Sections [cell NAME], [tenant NAME], [limits] are those of an
+assignment."""
+
+from dataclasses import dataclass, field
+
+from ..cells.charter import Charter, CharterError
+from ..cells.reading import Keys, read, sections
+from ..standins.clients import Demand
+
+FAULTS = ("kill", "revive", "cold", "slow", "silent", "well", "drain", "ready", "purge")
+DEEDS = (*FAULTS, "move", "cut", "abort")
+OURS = ("lab", "fleet", "director")
+
+
+@dataclass(slots=True)
+class Deed:
+    """Something that happens at its second: a fault of a node, or a change of the assignment."""
+
+    name: str
+    at: float
+    what: str
+    node: str = ""
+    tenants: tuple[str, ...] = ()
+    target: str = ""
+    warm: float = 0.0
+    shift: float = 0.0
+    drain: float = 0.0
+
+
+@dataclass(slots=True)
+class Scenario:
+    seconds: float
+    directors: int
+    seed: int
+    cells: bool
+    caches: tuple[str, ...]
+    parents: int
+    capacity: float
+    fill_cost: float
+    hit_delay: float
+    fill_delay: float
+    origin_delay: float
+    origin_capacity: float
+    cold_from: float
+    cold_for: float
+    falls: bool
+    open_most: int
+    rate: float
+    charter: Charter
+    demands: list[Demand] = field(default_factory=list)
+    deeds: list[Deed] = field(default_factory=list)
+
+
+def read_scenario(text: str) -> Scenario:
+    """Raises CharterError, whose text names the key."""
+    found = sections(text)
+    lab, fleet, director = (Keys(title, found.pop(title, {})) for title in OURS)
+    demands, deeds, ours = [], [], {}
+    for title, held in found.items():
+        kind, _, name = title.partition(" ")
+        keys = Keys(title, held)
+        if kind == "load":
+            demands.append(_demand(keys, name))
+            keys.done()
+        elif kind == "deed":
+            deeds.append(_deed(keys, name))
+            keys.done()
+        else:
+            ours[title] = held
+    ours.setdefault("assignment", {})
+    ours["assignment"] = {
+        "form": "1",
+        "version": "1",
+        "written": "0",
+        "spread_ms": "1000",
+        "skew_ms": "200",
+        "horizon_ms": "4000",
+    } | ours["assignment"]
+    charter = read(
+        "\n".join(
+            f"[{title}]\n" + "\n".join(f"{key} = {value}" for key, value in held.items())
+            for title, held in ours.items()
+        )
+    )
+    names = fleet.names("caches")
+    if not names:
+        raise fleet.fault("caches", "names of caches are wanted")
+    scenario = Scenario(
+        seconds=lab.number("seconds", 10.0, 600.0, 1.0),
+        directors=lab.whole("directors", 1, 8) or 1,
+        seed=lab.whole("seed", 1),
+        cells=lab.flag("cells", True),
+        caches=names,
+        parents=fleet.whole("parents", 2, 16),
+        capacity=fleet.number("capacity", 400.0, 1e6, 1.0),
+        fill_cost=fleet.number("fill_cost", 4.0, 1e3, 1.0),
+        hit_delay=fleet.number("hit_ms", 2.0),
+        fill_delay=fleet.number("fill_ms", 10.0),
+        origin_delay=fleet.number("origin_ms", 30.0),
+        origin_capacity=fleet.number("origin_capacity", 2_000.0),
+        cold_from=fleet.number("cold_from", 1.0, 1.0),
+        cold_for=fleet.number("cold_ms", 0.0),
+        falls=fleet.flag("falls", False),
+        open_most=director.whole("open_most", 0),
+        rate=director.number("rate", 0.0),
+        charter=charter,
+        demands=demands,
+        deeds=sorted(deeds, key=lambda deed: deed.at),
+    )
+    for keys in (lab, fleet, director):
+        keys.done()
+    for demand in demands:
+        if scenario.cells and demand.tenant not in charter.tenants and charter.unknown == "push_back":
+            raise CharterError(f"[load {demand.tenant}]: no such tenant")
+    for deed in deeds:
+        if deed.node and deed.what != "purge" and deed.node not in names and deed.node[:1] not in "po":
+            raise CharterError(f"[deed {deed.name}] node: no cache {deed.node!r}")
+    return scenario
+
+
+def _demand(keys: Keys, tenant: str) -> Demand:
+    bursts = []
+    if keys.number("burst_rate", 0.0):
+        bursts = [(keys.number("burst_at"), keys.number("burst_until"), keys.number("burst_rate"))]
+    return Demand(
+        tenant,
+        keys.number("rate"),
+        keys.whole("objects", 200) or 1,
+        keys.number("orders", 0.0, 1.0),
+        keys.number("skew", 0.8, 3.0),
+        keys.number("patience_ms", 1_500.0, 60_000.0, 10.0),
+        keys.whole("tries", 3, 10),
+        keys.whole("connections", 2, 64) or 1,
+        bursts,
+    )
+
+
+def _deed(keys: Keys, name: str) -> Deed:
+    what = keys.choice("what", DEEDS, "")
+    deed = Deed(name, keys.number("at"), what)
+    if what in FAULTS:
+        deed.node = keys.text("node")
+    elif what == "abort":
+        deed.target = keys.text("move")
+    else:
+        deed.tenants, deed.target = keys.names("tenants"), keys.text("to")
+        if what == "move":
+            deed.warm, deed.shift = keys.number("warm_ms", 1_000.0), keys.number("shift_ms", 3_000.0)
+            deed.drain = keys.number("drain_ms", 1_000.0)
+    return deed
--- a/tests/cells/stage.py
+++ b/tests/cells/stage.py
@@ -2,7 +2,7 @@
 
 import json
 
-from helpers import SPOTS, Caller, Sink, StandBus, StandNode, configuration, wait_for  # noqa: F401
+from helpers import SPOTS, Caller, Sink, StandBus, StandNode, configuration, wait_for
 
 from mulleinrelay.cells.charter import Cell, Charter, Limits, Move, Tenant
 from mulleinrelay.cells.governor import Asking, Board, Governor
@@ -18,25 +18,55 @@
 PAY = UseCase(EFFECTFUL, 500.0, 2.0, 6000.0, 6000.0, "cell", 0.0, False)
 
 
-def charter(cells=("north", "south"), tenants=("acme", "beta", "shared"), moves=(), version=1, releases=(),
-            tenant_limits=None, **changes):
+def charter(
+    cells=("north", "south"),
+    tenants=("acme", "beta", "shared"),
+    moves=(),
+    version=1,
+    releases=(),
+    tenant_limits=None,
+    **changes,
+):
     """A charter of two cells whose tenants stand in the first, save `beta` in the second."""
-    held = {one if isinstance(one, str) else one.name: Cell(one) if isinstance(one, str) else one
-            for one in cells}
+    held = {
+        one if isinstance(one, str) else one.name: Cell(one) if isinstance(one, str) else one for one in cells
+    }
     first, last = next(iter(held)), list(held)[-1]
     people = {}
     for one in tenants:
-        tenant = one if isinstance(one, Tenant) else Tenant(
-            one, last if one == "beta" else first, limits=tenant_limits or Limits())
+        tenant = (
+            one
+            if isinstance(one, Tenant)
+            else Tenant(one, last if one == "beta" else first, limits=tenant_limits or Limits())
+        )
         people[tenant.name] = tenant
-    return Charter(version, 1000.0, held, people, {move.name: move for move in moves},
-                   {release.name: release for release in releases},
-                   **({"default_tenant": "shared"} | changes))
+    return Charter(
+        version,
+        1000.0,
+        held,
+        people,
+        {move.name: move for move in moves},
+        {release.name: release for release in releases},
+        **({"default_tenant": "shared"} | changes),
+    )
 
 
 def move(starts=10_000.0, **changes):
-    return Move(**({"name": "m1", "tenants": ("acme",), "source": "north", "target": "south",
-                    "starts": starts, "warm_for": 1_000.0, "shift_for": 4_000.0, "drain_for": 2_000.0} | changes))
+    return Move(
+        **(
+            {
+                "name": "m1",
+                "tenants": ("acme",),
+                "source": "north",
+                "target": "south",
+                "starts": starts,
+                "warm_for": 1_000.0,
+                "shift_for": 4_000.0,
+                "drain_for": 2_000.0,
+            }
+            | changes
+        )
+    )
 
 
 class Ruled:
@@ -51,10 +81,12 @@
         warmth = warmth or {}
         return self.governor.listed(self.now, [(name, name, warmth.get(name, 1.0)) for name in caches])
 
-    def ask(self, told="acme", use_case=PAGES, key=7, receipt="", repeated=False, body=0, address="",
-            group=99):
-        return self.governor.admit(self.now, Asking(told, address, group, key, use_case, receipt, repeated,
-                                                    body))
+    def ask(
+        self, told="acme", use_case=PAGES, key=7, receipt="", repeated=False, body=0, address="", group=99
+    ):
+        return self.governor.admit(
+            self.now, Asking(told, address, group, key, use_case, receipt, repeated, body)
+        )
 
     def done(self, grant, good=True, delay=5.0, owed=True):
         return self.governor.settle(self.now, grant, good, owed, delay)
@@ -63,8 +95,16 @@
 class Housed:
     """Whole directors with one assignment file, before the same stand-ins, ended with the block."""
 
-    def __init__(self, folder, held, plan=(b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes"), directors=1,
-                 open_most=0, rate=0.0, **changes):
+    def __init__(
+        self,
+        folder,
+        held,
+        plan=(b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes"),
+        directors=1,
+        open_most=0,
+        rate=0.0,
+        **changes,
+    ):
         self.path = folder / "assignment.ini"
         self.path.write_text(write(held))
         plans = plan if isinstance(plan, list) else [plan] * len(SPOTS)
@@ -72,8 +112,9 @@
         self.bus, self.services, self.sinks, self.callers = StandBus(), [], [], []
         for number in range(directors):
             whole = configuration([node.address for node in self.nodes], self.bus.address, **changes)
-            own = OwnFile(True, str(self.path), "tenant", 50.0, str(folder / "records"), open_most, rate,
-                          5_000.0)
+            own = OwnFile(
+                True, str(self.path), "tenant", 50.0, str(folder / "records"), open_most, rate, 5_000.0
+            )
             self.sinks.append(Sink())
             start = decode(json.dumps(whole | {"name": f"n{number}"}))
             self.services.append(Service(start, self.sinks[-1], own))
@@ -88,8 +129,10 @@
         return self.callers[-1]
 
     def heard(self, word="PULL"):
-        return {SPOTS[place][0]: [entry for entry in node.heard if entry[0] == word]
-                for place, node in enumerate(self.nodes)}
+        return {
+            SPOTS[place][0]: [entry for entry in node.heard if entry[0] == word]
+            for place, node in enumerate(self.nodes)
+        }
 
     def __exit__(self, *_):
         for service in self.services:
