--- /dev/null
+++ b/benchmarks/drive.py
@@ -0,0 +1,164 @@
+"""Drives the front and the module of one director in this process, without nodes: CPU of a lookup. Run as a
+script with a folder that holds some version of the package, so that versions can be set side by side."""
+
+import json
+import socket
+import struct
+import sys
+import threading
+import time
+
+LOOKUPS, WARM_UP = 4_000, 500
+OBJECTS = 300
+
+
+def configuration() -> dict:
+    case = {"idempotency": "safe", "slo": 400.0, "deadline": 3000.0, "memorySpan": 6000.0, "group": "all"}
+    rows = [
+        {
+            "id": f"s-{place:02}",
+            "zone": zone,
+            "kind": kind,
+            "cell": 0,
+            "state": "SERVING",
+            "weight": 4,
+            "started_ms": 0,
+            "addr": f"127.0.0.1:{place + 1}",
+        }
+        for place, (zone, kind) in enumerate(
+            [("edge", "box")] * 5 + [("hub", "parent")] * 2 + [("hub", "origin")]
+        )
+    ]
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "seed": "8c1f",
+        "bus": "127.0.0.1:1",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "known": {
+            "offset": 1,
+            "batch": [{"offset": 1, "topology": {"version": 1, "full": True, "servers": rows}}],
+        },
+        "settings": {
+            "allowed": {
+                "cancel": True,
+                "connIdle": 30000.0,
+                "connectTimeout": 400.0,
+                "maxAttempts": 6,
+                "maxRetryAfter": 1000.0,
+                "maxStreams": 64,
+                "mayDuplicate": True,
+                "mayProbe": False,
+                "retryAfter": True,
+            },
+            "azs": ["hub", "edge"],
+            "shapes": ["box", "parent", "origin"],
+            "balancers": 3,
+            "myZone": 1,
+            "registryMode": "automatic",
+            "weights": "nominal",
+            "classes": [case | {"name": "pages"}],
+            "domain": {
+                "collapses": True,
+                "countByZone": [0, 1],
+                "freshFor": [0.0],
+                "mayPassBy": True,
+                "midKind": 1,
+                "neverKept": [False],
+                "oneFlowKbPerS": 8000.0,
+                "parentStartsAt": 1.0,
+                "parentWarmsIn": 1.0,
+                "peersFill": "location",
+                "purgeTakes": 1000.0,
+                "storeKind": 2,
+            },
+            "report": {"how": "none", "columns": []},
+            "rules": {"coldFrom": 1.0, "cold": 1.0, "overloadFor": 1000.0},
+        },
+    }
+
+
+def frame(number: int) -> memoryview:
+    fields = {
+        "route": "pages",
+        "trace": f"{number:016x}",
+        "patience": "1500",
+        "nth": "0",
+        "batch": "1",
+        "entity": f"{number * 7919 % OBJECTS:016x}",
+        "size": "4.0",
+        "tenant": "acme",
+    }
+    pairs = b"".join(struct.pack(">i", len(text)) + text.encode() for pair in fields.items() for text in pair)
+    return memoryview(
+        struct.pack(">Ii", 0x80010001, 5)
+        + b"serve"
+        + struct.pack(">i", number)
+        + b"\x0d\x00\x01\x0b\x0b"
+        + struct.pack(">i", len(fields))
+        + pairs
+        + b"\x0b\x00\x02"
+        + struct.pack(">i", 0)
+        + b"\x00"
+    )
+
+
+def drive(cells: str) -> dict:
+    from mulleinrelay.configuration import decode
+    from mulleinrelay.interface import Note, Outcome
+    from mulleinrelay.net import front, resp, service
+
+    class Quiet:
+        def event(self, *_, **__):
+            """Nothing is logged."""
+
+        fault = event
+
+    start = decode(json.dumps(configuration()))
+    if cells:
+        from mulleinrelay.cells.own import load_own
+
+        made = service.Service(start, Quiet(), load_own(cells))
+    else:
+        made = service.Service(start, Quiet())
+    for number, event in enumerate(start.events, 1):
+        made.bus.apply(number, event)
+    if cells:
+        made.warden._step()
+
+    class Nodes:
+        """Answers each leg at once, as a cache that holds the object."""
+
+        def send(self, order, asked):
+            resp.pull(asked, order, 1000.0)
+            made.facade.report(order.leg, Outcome.SATISFIED, Note.HIT, answer=held)
+
+        def give_up(self, leg):
+            """Never called off here."""
+
+    held = type("Told", (), {"kept": False, "body": bytes(400)})()
+    made.front.caches = Nodes()
+    ours, theirs = socket.socketpair()
+    client, got = front.Client(ours), []
+
+    def read():
+        while piece := theirs.recv(1 << 16):
+            got.append(len(piece))
+
+    threading.Thread(target=read, daemon=True).start()
+    # What the reader of the other end takes isn't the director's: only this thread's CPU counts
+    frames = [frame(number) for number in range(1, WARM_UP + LOOKUPS + 1)]
+    for each in frames[:WARM_UP]:
+        made.front._call(client, each)
+    begun = time.thread_time()
+    for place, each in enumerate(frames[WARM_UP:]):
+        made.front._call(client, each)
+        if place % 50 == 0:
+            made.facade.tick()
+    used = time.thread_time() - begun
+    return {"us": 1e6 * used / LOOKUPS, "bytes": sum(got)}
+
+
+if __name__ == "__main__":
+    sys.path.insert(0, sys.argv[1])
+    print(json.dumps(drive(sys.argv[2] if len(sys.argv) > 2 else "")))
--- a/mulleinrelay/cells/assignment.py
+++ b/mulleinrelay/cells/assignment.py
@@ -5,13 +5,14 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import xxhash
 
 from .charter import TABLE, Charter
 
 SCALE = 2.0 ** 64
+MASK, SALT, FIRST, SECOND = 0xFFFFFFFFFFFFFFFF, 0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9, 0x94D049BB133111EB
 
 
 def digest(text: str) -> int:
@@ -21,9 +22,9 @@
 
 def mixed(one: int, other: int) -> int:
     """Two digests as one, well spread."""
-    state = (one ^ other * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    state = (state ^ state >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    state = (state ^ state >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+    state = (one ^ other * SALT) & MASK
+    state = (state ^ state >> 30) * FIRST & MASK
+    state = (state ^ state >> 27) * SECOND & MASK
     return state ^ state >> 31
 
 
@@ -46,9 +47,10 @@
     whole, weights = sum(items.values()), sum(bins.values())
     room = {name: bound * whole * weight / weights for name, weight in bins.items()}
     held, found = dict.fromkeys(bins, 0.0), {}
+    nearest = _nearest(marks)
     for mark, name in sorted((digest(name), name) for name in items):
         load = items[name]
-        best = min((score(mark, other, weight), bin_) for bin_, other, weight in marks)[1]
+        best = nearest(mark)
         if held[best] >= room[best]:
             best = next((bin_ for bin_ in drawn(mark, marks) if held[bin_] < room[bin_]), best)
         held[best] += load
@@ -56,6 +58,27 @@
     return found
 
 
+def _nearest(marks: list[tuple[str, int, float]]) -> Callable[[int], str]:
+    """What gives the bin that a mark is drawn to most. Where all weigh the same no logarithm is wanted, and
+    the hash stands here once more without its call: tables of 100,000 tenants are read in service."""
+    if len({weight for _, _, weight in marks}) > 1:
+        return lambda mark: min((score(mark, other, weight), name) for name, other, weight in marks)[1]
+    salted = [(name, other * SALT & MASK) for name, other, _ in marks]
+
+    def most(mark: int) -> str:
+        best, top = "", -1
+        for name, salt in salted:
+            state = mark ^ salt
+            state = (state ^ state >> 30) * FIRST & MASK
+            state = (state ^ state >> 27) * SECOND & MASK
+            state ^= state >> 31
+            if state > top:
+                best, top = name, state
+        return best
+
+    return most
+
+
 def homes(charter: Charter) -> dict[str, str]:
     """The cell of each tenant of the charter, moves aside. A tenant with a cell of its own in the table
     stands there and counts against nobody's bound; with `table` as the way every other goes to no cell."""
--- a/mulleinrelay/cells/governor.py
+++ b/mulleinrelay/cells/governor.py
@@ -10,15 +10,16 @@
 
 from ..interface import PURE, RECEIPTED, Pool, UseCase
 from . import moves, releases
-from .charter import Charter, Limits
+from .charter import Cell, Charter, Limits
 from .limits import FairPace, Lane, Pace, Retries, Share, Shares, Width, advice
 from .naming import Naming
-from .placement import Nowhere, Placement
+from .placement import Nowhere, Placement, settled_homes
 from .reserve import Guests
 
 ACCOUNTS_MOST = 20_000
 BODY_SLOT = 16.0  # KB of a body that count as one more open lookup
 WIDTH_LEAST = 4.0
+SEAT_KEPT = 30_000.0  # ms, less than shares remember a party
 LOST_WAIT = 1_000.0
 TENANTS_TOLD = 50  # of those that were turned away most
 
@@ -58,7 +59,7 @@
 class Account:
     """One tenant at this director."""
 
-    __slots__ = ("limits", "pace", "retries", "body", "share", "denied", "granted", "used")
+    __slots__ = ("limits", "pace", "retries", "body", "denied", "granted", "used", "seats")
 
     def __init__(self, limits: Limits) -> None:
         self.renew(limits)
@@ -67,6 +68,18 @@
     def renew(self, limits: Limits) -> None:
         self.limits = limits
         self.pace, self.retries = Pace(limits.rate, limits.burst), Retries(limits.retries)
+        self.seats: dict[str, Seat] = {}  # by cell
+
+
+@dataclass(slots=True, eq=False)
+class Seat:
+    """A tenant's place in one cell: looked up once, as long as its shares are in use."""
+
+    cell: Cell
+    room: "Room"
+    share: Share
+    cell_share: Share
+    weight: float
 
 
 class Room:
@@ -100,6 +113,20 @@
     settled: bool = field(default=False)
 
 
+@dataclass(slots=True, eq=False)
+class Prepared:
+    """A charter with what is reckoned from it alone, so that taking it over holds no lookup up."""
+
+    charter: Charter
+    naming: Naming
+    homes: dict[str, str]
+
+
+def prepare(charter: Charter) -> Prepared:
+    """Raises CharterError where the charter can't be used."""
+    return Prepared(charter, Naming(charter), settled_homes(charter))
+
+
 class Governor:
     def __init__(self, now: float, charter: Charter, board: Board, may_pass_by: bool) -> None:
         self.board = board
@@ -108,25 +135,28 @@
         self.cells = Shares(board.open_most)
         self.rates = FairPace(board.rate)
         self.courses: dict[str, releases.Course] = {}
-        self.placement = Placement(charter, may_pass_by)
+        ready = prepare(charter)
+        self.placement = Placement(charter, may_pass_by, ready.homes)
         self.unknown = Account(charter.limits)  # whose lookups name no tenant of ours
         self.stages: dict[str, moves.Stage] = {}
         self.step_due = 0.0
-        self._take_over(now, charter)
+        self._take_over(now, ready)
 
     # What changes
 
-    def renew(self, now: float, charter: Charter) -> list[str]:
+    def renew(self, now: float, ready: "Charter | Prepared") -> list[str]:
         """A new version of the file is in force; gives words for the log. Raises CharterError, and then the
         old one stays. Accounts, widths and receipts are kept."""
-        naming = Naming(charter)
-        words = self.placement.renew(now, charter)
-        self._take_over(now, charter, naming)
+        ready = ready if isinstance(ready, Prepared) else prepare(ready)
+        charter = ready.charter
+        words = self.placement.renew(now, charter, ready.homes)
+        self._take_over(now, ready)
         first = f"version {charter.version}: {len(charter.cells)} cells, {len(charter.tenants)} tenants"
         return [first, *words]
 
-    def _take_over(self, now: float, charter: Charter, naming: Naming | None = None) -> None:
-        self.charter, self.naming = charter, naming or Naming(charter)
+    def _take_over(self, now: float, ready: "Prepared") -> None:
+        charter = ready.charter
+        self.charter, self.naming = charter, ready.naming
         self.courses = {name: self.courses.get(name) or releases.Course(release)
                         for name, release in charter.releases.items()}
         for name, course in self.courses.items():
@@ -151,6 +181,7 @@
     def _renew_accounts(self) -> None:
         for name, account in self.accounts.items():
             limits = self._limits(name)
+            account.seats.clear()
             if limits != account.limits:
                 account.renew(limits)
 
@@ -203,23 +234,25 @@
             account.denied += 1
             harmless = spot != Nowhere.UNPROVEN and self._harmless(asking)
             return Denied(spot.value, advice(LOST_WAIT, self.board.come_back_most), harmless)
-        room, cell = self.rooms[spot.cell], self.charter.cells[spot.cell]
-        weight = self.charter.tenants[tenant].weight
+        seat = account.seats.get(spot.cell)
+        if seat is None or now > seat.share.asked + SEAT_KEPT or now > seat.cell_share.asked + SEAT_KEPT:
+            seat = self._take_seat(account, tenant, spot.cell)
+        room, share, cell_share = seat.room, seat.share, seat.cell_share
         body = asking.body / 1024.0
         amount = 1.0 + body / BODY_SLOT
-        lane = self.rates.lane(cell.name, cell.weight)
-        own_lane = self._lane(now, room, lane, tenant, weight)
-        wait = self.rates.wait(lane, now) or (room.rates.wait(own_lane, now) if room.rates.rate else 0.0)
-        if wait:
-            return self._deny(account, asking, "rate of the cell", wait, room)
+        lanes = None
+        if self.rates.rate or room.limits.rate:
+            lane = self.rates.lane(spot.cell, seat.cell.weight)
+            lanes = lane, self._lane(now, room, lane, tenant, seat.weight)
+            if wait := self.rates.wait(lane, now) or room.rates.wait(lanes[1], now):
+                return self._deny(account, asking, "rate of the cell", wait, room)
         if account.limits.body_kb and account.body + body > account.limits.body_kb:
             return self._deny(account, asking, "bodies of the tenant", LOST_WAIT, room)
-        cell_share = self.cells.party(cell.name, cell.weight)
-        share = room.shares.party(tenant, weight, account.limits.open_most)
         room.width.used(room.shares.open + amount)
-        # So much less is lent inside the cell that a lender's return still fits into what the cell may have
-        reach = self.cells.reach(cell_share, now)
-        room.shares.width = min(room.width.now_most, reach) / (1.0 + Shares.HEAD_ROOM)
+        if room.shares.open + amount > 0.5 * room.shares.width:
+            # So much less is lent inside the cell that a lender's return still fits into what it may have
+            reach = self.cells.reach(cell_share, now)
+            room.shares.width = min(room.width.now_most, reach) / (1.0 + Shares.HEAD_ROOM)
         if not room.shares.may(share, now, amount):
             return self._deny(account, asking, "share of the tenant", 0.0, room)
         if not self.cells.may(cell_share, now, amount):
@@ -228,11 +261,14 @@
         if spot.guest_of:
             guests = room.guests.setdefault(spot.guest_of, Guests())
             home, host = self.charter.cells[spot.guest_of], self.placement.standings[spot.cell]
-            rate = room.rates.rate or (self.rates.part(lane) if self.rates.rate else 0.0)
+            rate = room.rates.rate or (self.rates.part(lanes[0]) if lanes else 0.0)
             if wait := guests.wait(now, home.reserve, host.warmth(), room.width.now_most, rate):
                 return self._deny(account, asking, "reserve of the neighbour", wait, room)
             guests.take(now)
-        self._take(now, account, room, lane, own_lane, retry)
+        self._take(now, account, retry)
+        if lanes:
+            self.rates.take(lanes[0], now)
+            room.rates.take(lanes[1], now)
         room.shares.take(share, amount)
         self.cells.take(cell_share, amount)
         account.body += body
@@ -260,17 +296,13 @@
             return f"cell {grant.cell} narrowed to {room.width.now_most:.0f} lookups open"
         return ""
 
-    def _take(self, now: float, account: Account, room: Room, lane: Lane, own_lane: Lane,
-              retry: bool) -> None:
+    def _take(self, now: float, account: Account, retry: bool) -> None:
         account.pace.take(now)
         account.granted += 1
         if retry:
             account.retries.take()
         else:
             account.retries.first()
-        self.rates.take(lane, now)
-        if room.rates.rate:
-            room.rates.take(own_lane, now)
 
     def _lane(self, now: float, room: Room, lane: Lane, tenant: str, weight: float) -> Lane:
         own = room.rates.lane(tenant, weight)
@@ -279,6 +311,14 @@
             room.rates.renew(self.rates.free_for(lane))
         return own
 
+    def _take_seat(self, account: Account, tenant: str, cell: str) -> Seat:
+        room, weight = self.rooms[cell], self.charter.tenants[tenant].weight
+        held = self.charter.cells[cell]
+        seat = account.seats[cell] = Seat(
+            held, room, room.shares.party(tenant, weight, account.limits.open_most),
+            self.cells.party(cell, held.weight), weight)
+        return seat
+
     def _open_account(self, tenant: str) -> Account:
         # the least lately used half goes; what is open is in the grants
         if len(self.accounts) >= ACCOUNTS_MOST:
--- a/mulleinrelay/cells/limits.py
+++ b/mulleinrelay/cells/limits.py
@@ -153,6 +153,8 @@
             self._reckon(now)
         if share.most and share.open + amount > share.most:
             return False
+        if self.open + amount + self.wanted <= self.width:
+            return True
         if share.open + amount <= self.part(share):
             return self.open + amount <= self.width * (1.0 + self.HEAD_ROOM) or share.open == 0.0
         kept = self.wanted - max(0.0, min(share.demand(now, self.SPAN), self.part(share)) - share.open)
--- a/mulleinrelay/cells/moves.py
+++ b/mulleinrelay/cells/moves.py
@@ -16,7 +16,8 @@
 from .charter import Move
 
 SALT = 0x6D6F7665  # so that the objects that go first are not those that a cache ranks first
-HEAD_ROOM = 0.8  # part of the receiving caches' capacity that a move may fill
+HEAD_ROOM = 0.65  # part of the receiving caches' capacity that a move may fill: chance and an uneven hash
+# bring some of them half as much again for a second
 SHIFT_LEAST = 2_000.0
 
 
--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -45,8 +45,21 @@
     return move.target if stage == moves.Stage.DONE else None
 
 
+def settled_homes(charter: Charter) -> dict[str, str]:
+    """The homes of all tenants; raises CharterError where a move's tenants don't stand where it begins. It
+    takes seconds for a large table."""
+    found = homes(charter)
+    for name, move in charter.moves.items():
+        for tenant in move.tenants:
+            if found.get(tenant) != move.source:
+                raise CharterError(f"[move {name}] from: tenant {tenant} stands in "
+                                   f"{found.get(tenant) or 'no cell'}, not in {move.source}")
+    return found
+
+
 class Placement:
-    def __init__(self, charter: Charter, may_pass_by: bool) -> None:
+    def __init__(self, charter: Charter, may_pass_by: bool, found: dict[str, str] | None = None) -> None:
+        """`found`: its homes, where they have been reckoned already."""
         self.may_pass_by = may_pass_by
         self.ledger = Ledger(RECEIPTS_MOST)
         self.caches: list[tuple[str, Any, float]] = []  # the ready ones here: name, node, warmth
@@ -54,7 +67,7 @@
         self.unsettled: dict[str, float] = {}  # tenants that changed cells without a move, and until when
         self.homes: dict[str, str] = {}
         self.purses: dict[str, Purse] = {}
-        self._take_over(charter)
+        self._take_over(charter, found or settled_homes(charter))
         self.by_cell: dict[str, list[str]] = {name: [] for name in charter.cells}
         self.nodes: dict[str, Any] = {}
         # What another director may still do by the version before, or this one did before it was restarted
@@ -62,11 +75,11 @@
 
     # What comes in
 
-    def renew(self, now: float, charter: Charter) -> list[str]:
-        """A new version; gives words on what changed its mode. Tenants whose cell it changes without a move
-        change at once, which is said."""
+    def renew(self, now: float, charter: Charter, found: dict[str, str]) -> list[str]:
+        """A new version and its homes; gives words on what changed its mode. Tenants whose cell it changes
+        without a move change at once, which is said."""
         before = {name: (home, self.moving.get(name)) for name, home in self.homes.items()}
-        self._take_over(charter)
+        self._take_over(charter, found)
         until = now + charter.horizon + charter.skew + charter.spread
         jumped = [
             name
@@ -90,15 +103,7 @@
         self.caches = sorted(caches, key=lambda entry: entry[0])
         return self._stand(now)
 
-    def _take_over(self, charter: Charter) -> None:
-        found = homes(charter)
-        for name, move in charter.moves.items():
-            for tenant in move.tenants:
-                if found.get(tenant) != move.source:
-                    raise CharterError(
-                        f"[move {name}] from: tenant {tenant} stands in "
-                        f"{found.get(tenant) or 'no cell'}, not in {move.source}"
-                    )
+    def _take_over(self, charter: Charter, found: dict[str, str]) -> None:
         self.charter, self.homes = charter, found
         self.moving = {tenant: move for move in charter.moves.values() for tenant in move.tenants}
         self.standings = {
@@ -106,7 +111,7 @@
         }
         for name, standing in self.standings.items():
             standing.cell = charter.cells[name]
-        self.pools: dict[tuple[str, str, str], Pool] = {}
+        self.pools: dict[tuple[str, str, str], Spot] = {}
 
     def _stand(self, now: float) -> list[str]:
         self.by_cell = caches_of(self.charter, [name for name, _, _ in self.caches])
@@ -129,7 +134,9 @@
         if home is None:
             return Nowhere.HOMELESS
         anywhere = use_case.repeat != RECEIPTED or use_case.group != "cell"
-        known = self.ledger.where(tenant, receipt, now) if receipt else None
+        known = None
+        if receipt and use_case.repeat == RECEIPTED:
+            known = self.ledger.where(tenant, receipt, now)
         repeated = repeated or known is not None
         move = self.moving.get(tenant)
         if not anywhere and repeated and known is None and (
@@ -163,34 +170,32 @@
         """`other`: the other side of a move. `anywhere`: it need not stay with the nodes of one cell."""
         standing = self.standings[cell]
         if use_case.never_kept and self.may_pass_by:  # needs no cache
-            return Spot(cell, self._pool(tenant, cell, other))
+            return self._spot(tenant, cell, other)
         if not anywhere:
             if standing.lost:
                 return Nowhere.UNPROVEN if repeated else Nowhere.LOST
-            return Spot(cell, self._pool(tenant, cell, other))
+            return self._spot(tenant, cell, other)
         if reserve.at_home(key, standing.home_share(now)):
-            return Spot(cell, self._pool(tenant, cell, other))
+            return self._spot(tenant, cell, other)
         host = reserve.host(self.standings, standing.cell)
         if host is None:
-            return Nowhere.LOST if standing.lost else Spot(cell, self._pool(tenant, cell, other))
-        return Spot(host.cell.name, self._pool(tenant, host.cell.name, ""), guest_of=cell)
+            return Nowhere.LOST if standing.lost else self._spot(tenant, cell, other)
+        return Spot(host.cell.name, self._spot(tenant, host.cell.name, "").pool, guest_of=cell)
 
-    def _pool(self, tenant: str, cell: str, other: str) -> Pool:
-        pool = self.pools.get((tenant, cell, other))
-        if pool is None:
+    def _spot(self, tenant: str, cell: str, other: str) -> Spot:
+        """At home in `cell`; made once and kept until the list or the file changes."""
+        spot = self.pools.get((tenant, cell, other))
+        if spot is None:
             if len(self.pools) >= POOLS_MOST:
                 self.pools.clear()
             caches = self._nodes(tenant, self.charter.cells[cell])
             aside = self._nodes(tenant, self.charter.cells[other]) if other else {}
-            old = bool(other) and self._is_source(tenant, other)
-            pool = self.pools[tenant, cell, other] = Pool(
-                caches, aside if old else {}, aside, self.purse(tenant)
-            )
-        return pool
-
-    def _is_source(self, tenant: str, cell: str) -> bool:
-        move = self.moving.get(tenant)
-        return move is not None and move.source == cell
+            move = self.moving.get(tenant)
+            old = move is not None and move.source == other
+            helps = old or (move is not None and move.aborted_at > 0.0)  # what went over comes back
+            pool = Pool(caches, aside if old else {}, aside if helps else {}, self.purse(tenant))
+            spot = self.pools[tenant, cell, other] = Spot(cell, pool)
+        return spot
 
     def _nodes(self, tenant: str, cell: Cell) -> dict[Any, None]:
         return {self.nodes[name]: None for name in shuffled(tenant, self.by_cell[cell.name], cell.shuffle)}
--- a/mulleinrelay/cells/records.py
+++ b/mulleinrelay/cells/records.py
@@ -61,7 +61,7 @@
 def read_logs(folder: str) -> list[dict]:
     """All lines of all directors there, in order of time."""
     found = []
-    for name in sorted(os.listdir(folder)):
+    for name in sorted(os.listdir(folder), reverse=True):  # of one director the older file first
         director, _, ending = name.partition(".jsonl")
         if ending not in ("", ".1") or director == name:
             continue
--- a/mulleinrelay/cells/warden.py
+++ b/mulleinrelay/cells/warden.py
@@ -12,7 +12,7 @@
 from ..log import Log
 from . import store
 from .charter import Charter, CharterError
-from .governor import Asking, Board, Denied, Governor, Grant
+from .governor import Asking, Board, Denied, Governor, Grant, prepare
 from .own import OwnFile
 from .records import Records
 
@@ -123,10 +123,11 @@
         self.stamp = stamp
         try:
             charter = store.load(self.own.assignment)
+            if fault := refusal(self.governor.charter, charter):  # only this thread changes it
+                return [fault]
+            ready = prepare(charter)
             with self.lock:
-                if fault := refusal(self.governor.charter, charter):
-                    return [fault]
-                return self.governor.renew(now, charter)
+                return self.governor.renew(now, ready)
         except CharterError as wrong:
             return [f"assignment kept at version {self.governor.charter.version}: {wrong}"]
 
--- a/mulleinrelay/lab/play.py
+++ b/mulleinrelay/lab/play.py
@@ -88,7 +88,8 @@
         for name in scenario.caches
     ]
     specs += [
-        Spec(f"p-{place}", PARENT, "hub", 10.0 * scenario.capacity, 1.0, scenario.fill_delay)
+        Spec(f"p-{place}", PARENT, "hub", 10.0 * scenario.capacity, 1.0, scenario.fill_delay,
+             holds=scenario.parent_holds)
         for place in range(1, scenario.parents + 1)
     ]
     specs.append(Spec("o-1", ORIGIN, "hub", scenario.origin_capacity, 1.0, scenario.origin_delay))
--- a/mulleinrelay/lab/scenario.py
+++ b/mulleinrelay/lab/scenario.py
@@ -44,6 +44,7 @@
     cold_from: float
     cold_for: float
     falls: bool
+    parent_holds: int
     open_most: int
     rate: float
     charter: Charter
@@ -100,7 +101,7 @@
         origin_capacity=fleet.number("origin_capacity", 2_000.0),
         cold_from=fleet.number("cold_from", 1.0, 1.0),
         cold_for=fleet.number("cold_ms", 0.0),
-        falls=fleet.flag("falls", False),
+        falls=fleet.flag("falls", False), parent_holds=fleet.whole("parent_holds", 0),
         open_most=director.whole("open_most", 0),
         rate=director.number("rate", 0.0),
         charter=charter,
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterator
 from itertools import chain, islice
+from operator import mul
 from random import Random
 from typing import Any
 
@@ -40,6 +41,7 @@
 PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN, PURGE_KEPT = 3.0, 20.0  # a copy is younger than the purge by so much; purge spans it binds
+MIDDLES = [6.0 * 2.0 ** place for place in range(11)]  # of a histogram's bins
 
 
 class Histogram:
@@ -60,7 +62,7 @@
 
     def sums(self, now: float) -> tuple[float, float]:
         self.age(now)
-        return sum(count * 6.0 * 2.0 ** place for place, count in enumerate(self.bins)), sum(self.bins)
+        return sum(map(mul, self.bins, MIDDLES)), sum(self.bins)
 
     def mean(self, now: float) -> float | None:
         total, weight = self.sums(now)
@@ -352,13 +354,13 @@
         tried = {leg.source for leg in lookup.legs if self.doubts_source(leg)}
         if cache is not None:
             limit, asks = self.delay(cache) + NEAR, self.terms.siblings and not self.holds(cache, lookup)
-            pool = lookup.pool
-            for sibling in self.caches if asks else ():
-                if pool and sibling not in pool.caches and sibling not in pool.helpers:
-                    continue
+            for sibling in self.siblings(lookup) if asks else ():
                 if (self.holds(sibling, lookup) and sibling not in tried and self.delay(sibling) <= limit
                         and any(self.fit([sibling], work))):
                     return sibling, True
+            pool = lookup.pool
+            if asks and pool and pool.helpers and (helper := self.old_home(lookup, tried, work)):
+                return helper, True
             if self.link_slows() > self.bearable(lookup):
                 return cache, False
         if self.origin is not None and self.random.random() < ORIGIN_TRIAL:
@@ -373,6 +375,18 @@
         late = self.too_late(source.recent, lookup) and not self.trial(source)
         return (cache, False) if late or (held_only and source is self.origin) else (source, held_only)
 
+    def siblings(self, lookup: Lookup) -> list[Member]:
+        if (pool := lookup.pool) is None:
+            return self.caches
+        return [cache for cache in self.caches if cache in pool.caches or cache in pool.helpers]
+
+    def old_home(self, lookup: Lookup, tried: set[Member | None], work: float) -> Member | None:
+        """The cache that an object on the move stood at, which is believed to hold it though no recent answer
+        told so. Spares the origin; could harm by a leg for what nobody has asked for lately."""
+        helpers = [cache for cache in self.caches if cache in lookup.pool.helpers]
+        first = next(self.fit(self.by_hash(helpers, lookup.key, lookup.part), work), None)
+        return first if first not in tried else None
+
     def choose_outside(self, fit: Iterator[Member]) -> Member | None:
         """The hashed parent, the next when that one is slower than usual, the origin when all are slow.
         What rose at all alike sends nobody on: next ones lack the objects, and the origin would be asked."""
--- a/mulleinrelay/standins/fleet.py
+++ b/mulleinrelay/standins/fleet.py
@@ -10,7 +10,7 @@
 
 BOX, PARENT, ORIGIN = "box", "parent", "origin"
 FULL_AFTER = 1_000.0  # ms of work that wait; beyond, a node answers that it is full
-WINDOW = 500.0  # ms over which load is reckoned
+WINDOW = 1_000.0  # ms over which load is reckoned
 
 
 def now_ms() -> float:
@@ -30,6 +30,7 @@
     weight: int = 4
     cold_from: float = 1.0  # share of its capacity when it has just started
     cold_for: float = 0.0  # ms until it has all
+    holds: int = 0  # copies it has room for, the oldest go first; 0: any number
     falls: bool = False  # whether more than it can bear over two windows kills it
 
 
@@ -74,6 +75,12 @@
         self.free_at = max(now, self.free_at) + self.slow * units / capacity
         return self.free_at
 
+    def keep(self, spot: tuple[str, str], issued: float) -> None:
+        self.copies.pop(spot, None)
+        self.copies[spot] = issued
+        if self.spec.holds and len(self.copies) > self.spec.holds:
+            del self.copies[next(iter(self.copies))]
+
     def forget(self) -> None:
         """As after a restart."""
         self.copies.clear()
@@ -164,7 +171,7 @@
             return self._in(node, done, (b"LACK", b"why=UP_MISS", b""))
         end = max(done, ready)
         if fields.get("prio", "0") != "0":
-            node.copies[spot] = issued
+            node.keep(spot, issued)
             node.filling[spot] = end
         return self._in(
             node, end, self._done(spot, issued, now, "MISS_ORIGIN" if by_origin else "MISS", ready - now)
@@ -188,7 +195,7 @@
             far = origin.spec.delay
             origin.bear(now, 1.0)
             if keeps:
-                source.copies[spot] = now
+                source.keep(spot, now)
         return (None if ready is None else ready + source.spec.delay + far), now, True
 
     def _done(
