A search over troubles in a move, releases of layout, and the ways to confine set side by side

Change: a search over 270 plays of two directors on different versions, which finds a fault for each rule; a release may carry shuffle; benchmarks/ways.

--- /dev/null
+++ b/benchmarks/ways.py
@@ -0,0 +1,137 @@
+"""Two ways to confine lookups, set side by side in the module alone: one director instance a cell, or one
+with a pool for each lookup. `python -m benchmarks.ways`; no sockets, simulated fills, under a minute."""
+
+import json
+import random
+import time
+import tracemalloc
+from collections import deque
+
+from mulleinrelay.interface import PURE, ColdRule, Lookup, Note, Outcome, Pool, Purse, State, Terms, UseCase
+from mulleinrelay.policy import Director, Member
+
+CELLS, CACHES, PARENTS, LOOKUPS, OBJECTS = 10, 40, 4, 4_000, 3_000
+SPAN = 10_000.0  # ms that the lookups take
+CACHE, PARENT, ORIGIN = 0, 1, 2
+
+
+class Out:
+    """Answers each leg in the next round: a hit where the cache has the object, else a fill."""
+
+    def __init__(self) -> None:
+        self.legs = []
+
+    def send(self, leg, *_):
+        self.legs.append(leg)
+
+    def __getattr__(self, name):
+        return lambda *_: None
+
+
+def terms() -> Terms:
+    case = UseCase(PURE, 500.0, 2.0, 3_000.0, 5_000.0, "all", 0.0, False)
+    return Terms(
+        [case],
+        1,
+        3,
+        3,
+        PARENT,
+        ORIGIN,
+        True,
+        10.0,
+        6,
+        True,
+        True,
+        False,
+        True,
+        1_000.0,
+        True,
+        True,
+        True,
+        False,
+        ["crowding"],
+        False,
+        ColdRule(1.0, 1.0, 1_500.0),
+        ColdRule(0.06, 20_000.0, 1_500.0),
+        1_000.0,
+    )
+
+
+def director(caches: list[Member], outside: list[tuple[Member, int, float]]) -> Director:
+    made = Director(0.0, 7, terms())
+    rows = [(cache, State.READY, 4.0, CACHE, 1, 0, 0.0) for cache in caches]
+    rows += [(member, State.READY, 4.0, kind, 0, 0, started) for member, kind, started in outside]
+    made.round(0.0, [("listed", (rows, True, False))], Out())
+    return made
+
+
+def play(split: bool, traced: bool = False) -> dict:
+    """Figures of all cells together. A parent restarts cold just before the start."""
+    chance, out = random.Random(5), Out()
+    if traced:
+        tracemalloc.start()
+    pools, directors = [], []
+    for cell in range(CELLS):
+        own = [Member(100 + cell * CACHES + place) for place in range(CACHES // CELLS)]
+        pools.append(own)
+        if split:
+            parents = [(Member(10 + place), PARENT, 0.5 if place == 0 else 0.0) for place in range(PARENTS)]
+            directors.append(director(own, [*parents, (Member(1), ORIGIN, 0.0)]))
+    if not split:
+        parents = [(Member(10 + place), PARENT, 0.5 if place == 0 else 0.0) for place in range(PARENTS)]
+        directors = [
+            director([cache for own in pools for cache in own], [*parents, (Member(1), ORIGIN, 0.0)])
+        ]
+        directors *= CELLS
+    held = set()
+    confined = [Pool(dict.fromkeys(own), {}, {}, Purse(8.0)) for own in pools]
+    cold = {id(one): next(member for member in one.members if member.key == 10) for one in directors}
+    readings, to_cold, peak, begun = 0, deque(), 0.0, time.process_time()
+    for number in range(LOOKUPS):
+        now, cell = SPAN * number / LOOKUPS, number % CELLS
+        one = directors[cell]
+        lookup = Lookup(
+            number,
+            one.terms.use_cases[0],
+            chance.randrange(OBJECTS),
+            0,
+            0,
+            400.0,
+            now,
+            now + 3_000.0,
+            pool=None if split else confined[cell],
+        )
+        one.round(now, [("looked_up", (lookup,))], out)
+        for leg in out.legs:
+            hit = (leg.node.key, lookup.key) in held
+            held.add((leg.node.key, lookup.key))
+            readings += not hit and leg.source is not None and leg.source.kind == PARENT
+            if not hit and leg.source is cold[id(one)]:
+                to_cold.append(now)
+                while to_cold[0] < now - 1_500.0:
+                    to_cold.popleft()
+                warmth = min(1.0, 0.06 + 0.94 * now / 20_000.0)  # a third of it is this director's part
+                peak = max(peak, 40.0 * len(to_cold) / (4.0 * warmth * 1_500.0 / 3.0))
+            note = Note.HIT if hit else Note.FILLED
+            one.round(
+                now + 5.0,
+                [("answered", (leg, Outcome.SATISFIED, 5.0 if hit else 40.0, True, note, 30.0, None))],
+                out,
+            )
+        out.legs.clear()
+    if traced:
+        memory = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return {"memory_kb": round(memory / 1024)}
+    used = time.process_time() - begun
+    return {
+        "cpu_us_a_lookup": round(1e6 * used / LOOKUPS),
+        "readings_of_a_parent_a_second_and_instance": round(
+            1000.0 * readings / SPAN / PARENTS / (CELLS if split else 1), 2
+        ),
+        "peak_on_the_cold_parent_over_this_directors_part": round(peak, 2),
+    } | play(split, True)
+
+
+if __name__ == "__main__":
+    print(json.dumps({"instances": play(True), "pools": play(False)}))
--- a/mulleinrelay/cells/changes.py
+++ b/mulleinrelay/cells/changes.py
@@ -158,7 +158,11 @@
         for key, tenant in charter.tenants.items()
     }
     left = {other: held for other, held in charter.releases.items() if other != name}
-    return replace(charter, releases=left, tenants=people)
+    rooms = charter.cells
+    if release.shuffle >= 0:
+        rooms = {key: replace(cell, shuffle=release.shuffle) if key in cells else cell
+                 for key, cell in rooms.items()}
+    return replace(charter, releases=left, tenants=people, cells=rooms)
 
 
 def explain_tenant(charter: Charter, tenant: str, now: float) -> dict[str, object]:
--- a/mulleinrelay/cells/charter.py
+++ b/mulleinrelay/cells/charter.py
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Release:
-    """Limits that go to one cell first, then on by waves."""
+    """Limits, and how tenants lie over a cell's caches, that go to one cell first, then on by waves."""
 
     name: str
     canary: str
@@ -75,6 +75,7 @@
     drop_most: float = 0.03  # of the satisfied share, beyond what the other cells lose
     slower_most: float = 1.5  # times its own past, beyond the same of the other cells
     taken_back: bool = False  # by staff
+    shuffle: int = -1  # caches of each tenant; -1: as the cell has it
 
 
 @dataclass(slots=True, frozen=True)
--- a/mulleinrelay/cells/commands.py
+++ b/mulleinrelay/cells/commands.py
@@ -372,6 +372,7 @@
 @click.option("--rate", type=float, default=0.0)
 @click.option("--open-most", type=float, default=0.0)
 @click.option("--retries", type=float, default=0.2, show_default=True)
+@click.option("--shuffle", type=click.IntRange(0, 10_000), help="Caches of each tenant; 0: all.")
 @FILE
 @JSON
 def release(
@@ -382,10 +383,12 @@
     rate: float,
     open_most: float,
     retries: float,
+    shuffle: int | None,
     path: str,
     as_json: bool,
 ) -> None:
-    """New limits for tenants, one cell first; each director halts or takes back what harms that cell."""
+    """New limits or layout for tenants, one cell first; each director halts or takes back what harms that
+    cell."""
     with faults():
         new = change(
             path,
@@ -399,6 +402,7 @@
                     now_ms() + old.spread + old.skew,
                     wave_ms,
                     Limits(rate=rate, open_most=open_most, retries=retries),
+                    shuffle=-1 if shuffle is None else shuffle,
                 ),
             ),
             name=name,
--- a/mulleinrelay/cells/governor.py
+++ b/mulleinrelay/cells/governor.py
@@ -167,6 +167,7 @@
                 self.rooms[name] = self._renewed(room, cell.limits)
         self.rooms = {name: self.rooms[name] for name in charter.cells}
         self._renew_accounts()
+        self.placement.reshuffle(releases.shuffles(self.courses))
         self.stages = {name: self.stages.get(name, moves.Stage.PLANNED) for name in charter.moves}
 
     def _renewed(self, old: Room | None, limits: Limits) -> Room:
@@ -207,6 +208,7 @@
             if word := course.step(now):
                 words.append(f"release {name} {word}, wave {course.wave} of {len(course.release.waves)}")
                 self._renew_accounts()
+                self.placement.reshuffle(releases.shuffles(self.courses))
         return words
 
     # One lookup
--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -67,6 +67,7 @@
         self.unsettled: dict[str, float] = {}  # tenants that changed cells without a move, and until when
         self.homes: dict[str, str] = {}
         self.purses: dict[str, Purse] = {}
+        self.shuffles: dict[str, int] = {}  # cells whose tenants lie otherwise by a release
         self._take_over(charter, found or settled_homes(charter))
         self.by_cell: dict[str, list[str]] = {name: [] for name in charter.cells}
         self.nodes: dict[str, Any] = {}
@@ -98,6 +99,13 @@
         before, after = (_settled(now, at, move) for at, move in ((home, old), (new_home, new)))
         return before is None or before != after
 
+    def reshuffle(self, shuffles: dict[str, int]) -> None:
+        """Caches of each tenant by cell, where a release in force says so; -1: as the cell has it."""
+        shuffles = {cell: count for cell, count in shuffles.items() if count >= 0}
+        if shuffles != self.shuffles:
+            self.shuffles = shuffles
+            self.pools.clear()
+
     def listed(self, now: float, caches: Iterable[tuple[str, Any, float]]) -> list[str]:
         """The ready caches of this location: name, node, warmth (0 to 1). Gives words on changes of mode."""
         self.caches = sorted(caches, key=lambda entry: entry[0])
@@ -193,12 +201,15 @@
             move = self.moving.get(tenant)
             old = move is not None and move.source == other
             helps = old or (move is not None and move.aborted_at > 0.0)  # what went over comes back
+            if cell in self.shuffles:  # what a tenant left behind by the release fills it
+                aside, helps = aside | {self.nodes[name]: None for name in self.by_cell[cell]}, True
             pool = Pool(caches, aside if old else {}, aside if helps else {}, self.purse(tenant))
             spot = self.pools[tenant, cell, other] = Spot(cell, pool)
         return spot
 
     def _nodes(self, tenant: str, cell: Cell) -> dict[Any, None]:
-        return {self.nodes[name]: None for name in shuffled(tenant, self.by_cell[cell.name], cell.shuffle)}
+        count = self.shuffles.get(cell.name, cell.shuffle)
+        return {self.nodes[name]: None for name in shuffled(tenant, self.by_cell[cell.name], count)}
 
     def purse(self, tenant: str) -> Purse:
         found = self.purses.get(tenant)
--- a/mulleinrelay/cells/reading.py
+++ b/mulleinrelay/cells/reading.py
@@ -234,7 +234,7 @@
         _limits(keys, limits, False),
         keys.number("drop_most", 0.03, 1.0),
         keys.number("slower_most", 1.5, 100.0, 1.0),
-        keys.flag("taken_back", False),
+        keys.flag("taken_back", False), int(keys.number("shuffle", -1.0, 10_000, -1.0)),
     )
 
 
@@ -386,6 +386,7 @@
                     "drop_most": release.drop_most,
                     "slower_most": release.slower_most,
                     "taken_back": "yes" if release.taken_back else "no",
+                    "shuffle": release.shuffle,
                 }
                 | _of_limits(release.limits)
             ),
--- a/mulleinrelay/cells/releases.py
+++ b/mulleinrelay/cells/releases.py
@@ -172,6 +172,12 @@
     return (share * (1.0 - share)) ** 0.5
 
 
+def shuffles(courses: dict[str, Course]) -> dict[str, int]:
+    """How tenants lie over a cell's caches, by cell, where a release that has reached it says so."""
+    return {cell: course.release.shuffle for course in courses.values() for cell in course.since
+            if course.has(cell) and course.release.shuffle >= 0}
+
+
 def in_force(courses: dict[str, Course], cell: str, own: Limits) -> Limits:
     """The limits of a cell's tenants: those of the newest release that has reached it, else its own."""
     limits = own
--- a/tests/cells/test_governor.py
+++ b/tests/cells/test_governor.py
@@ -3,9 +3,9 @@
 from dataclasses import replace
 
 import pytest
-from stage import ORDER, ORDER_ALL, PAGES, PAY, Cell, Limits, Ruled, Tenant, charter
+from stage import ORDER, ORDER_ALL, PAGES, PAY, Cell, Limits, Ruled, Tenant, charter, move
 
-from mulleinrelay.cells import releases
+from mulleinrelay.cells import changes, releases
 from mulleinrelay.cells.charter import Release
 from mulleinrelay.cells.governor import Board, Denied, Grant
 
@@ -251,3 +251,27 @@
     ruled.governor.renew(ruled.now, taken_back)
     assert "taken back (by staff)" in ruled.governor.step(ruled.now)[0]
     assert ruled.governor.accounts["acme"].limits.rate == 0.0
+
+
+def test_a_release_lays_tenants_over_fewer_caches_and_the_others_fill_them():
+    one = (Cell("north", caches=("s-01", "s-02", "s-03")), Cell("south", caches=("s-04",)))
+    release = replace(RELEASE, shuffle=1, limits=Limits(), waves=())
+    ruled = Ruled(charter(one, releases=(release,)))
+    assert len(ruled.ask().pool.caches) == 3
+    ruled.now = 20_000.0
+    ruled.governor.step(ruled.now)
+    pool = ruled.ask().pool
+    assert len(pool.caches) == 1 and set(pool.helpers) == {"s-01", "s-02", "s-03"}
+    kept = changes.keep_release(ruled.governor.charter, "r1")
+    assert kept.cells["north"].shuffle == 1 and kept.cells["south"].shuffle == 0
+    ruled.governor.renew(ruled.now, replace(kept, version=2))
+    assert set(ruled.ask().pool.caches) == set(pool.caches)
+
+
+def test_a_director_restarted_in_a_move_goes_by_the_clock_and_proves_nothing():
+    held = replace(charter(TWO, moves=(move(starts=100_000.0),)), written=90_000.0)
+    before, after = Ruled(held), Ruled(held)
+    before.now = after.now = 103_000.0
+    cells = [[one.ask(key=key).cell for key in range(50)] for one in (before, after)]
+    assert cells[0] == cells[1] and len(set(cells[0])) == 2
+    assert not after.ask(use_case=ORDER, receipt="r", repeated=True).harmless
--- /dev/null
+++ b/tests/cells/test_search.py
@@ -0,0 +1,132 @@
+"""A search over small states: two directors on different versions of a file while boxes drain, die, come back
+cold and objects are purged in the middle of a move. Rules 3 to 5 hold in every one; rule 2 is searched in
+test_moves."""
+
+import itertools
+from dataclasses import replace
+
+import pytest
+from helpers import Stage
+from stage import Cell, Ruled, charter, move
+
+from mulleinrelay.facade import GiveUp, Order
+from mulleinrelay.interface import Note, Outcome, State
+from mulleinrelay.policy import Director
+
+CACHES = ("s-01", "s-02", "s-03")
+TWO = (Cell("north", caches=("s-01",)), Cell("south", caches=("s-02", "s-03")))
+MOVE = move(starts=101_000.0, warm_for=500.0, shift_for=2_000.0, drain_for=1_500.0)
+ABORTED = replace(MOVE, aborted_at=102_500.0)
+VERSIONS = [charter(TWO), charter(TWO, moves=(MOVE,), version=2), charter(TWO, moves=(ABORTED,), version=3)]
+BOXES = [(what, box) for what in ("drain", "cold", "gone") for box in CACHES]
+TROUBLES = [*BOXES, ("purge", "")]
+WHEN = (101_200.0, 102_000.0, 103_200.0)
+END, STEP, WORK = 106_000.0, 200.0, 50.0  # ms; a lookup of 400 KB at 8 KB/ms
+COLD_FROM, COLD_FOR, SPAN = 0.2, 17_000.0, 1_500.0  # as the stage's settings tell
+
+
+class Side:
+    """One director with its governor, on a clock that stands until moved; each leg is answered at once."""
+
+    def __init__(self, version):
+        self.stage = Stage()
+        self.stage.facade.terms.directors = self.stage.facade.terms.directors_here = 2
+        self.ruled = Ruled(version)
+        self.told = {}
+
+    def strike(self, now, what, box):
+        self.stage.now = now
+        if what == "purge":
+            self.told["purge"] = now
+            return self.stage.facade.purged(0xABC, 0, now)
+        row = next(entry for entry in self.stage.entries if entry.name == box)
+        state = {"drain": State.DRAINING, "cold": State.READY, "gone": State.GONE}[what]
+        self.told[what, box] = now
+        changed = replace(row, state=state, started=now if what == "cold" else row.started)
+        self.stage.facade.listed([changed], False)
+
+    def lookups(self, now):
+        """One lookup of each of some objects; gives the orders that went out."""
+        self.stage.now = self.ruled.now = now
+        facade, governor = self.stage.facade, self.ruled.governor
+        caches = facade.ready_caches()
+        governor.listed(now, caches)
+        for key in (0xABC, 0xDEF, 0x123, 0x9999):
+            grant = self.ruled.ask(key=key)
+            if not hasattr(grant, "pool"):
+                continue
+            case = self.stage.terms.use_cases[0]
+            lookup = facade.take(case, key, 0, 1, 400.0, 3_000.0, False, pool=grant.pool)
+            while (step := facade.pick(lookup)) is not None:
+                if isinstance(step, Order):
+                    yield step
+                    facade.report(step.leg, Outcome.SATISFIED, Note.FILLED if step.source else Note.HIT)
+                elif not isinstance(step, GiveUp):
+                    break
+            self.ruled.done(grant)
+
+
+def play(versions, what, box, when):
+    """Gives the rules that were broken."""
+    sides, broken, spent = [Side(version) for version in versions], set(), []
+    now = 100_400.0
+    while now < END:
+        if now <= when < now + STEP:
+            for side in sides:
+                side.strike(now, what, box)
+        for side in sides:
+            for order in side.lookups(now):
+                named = {order.place.name, order.source}
+                if what in ("drain", "gone") and when <= now and box in named:
+                    broken.add(3)
+                if what == "cold" and when <= now and box in named:
+                    spent.append((now, WORK))
+                if what == "purge" and when <= now and order.leg.lookup.key == 0xABC:
+                    if not 0.0 < order.max_age <= now - when + 1.0:
+                        broken.add(5)
+        now += STEP
+    for at, _ in spent:  # both directors together, over any span
+        load = sum(work for other, work in spent if at - SPAN < other <= at)
+        warmth = COLD_FROM + (1.0 - COLD_FROM) * (at - when) / COLD_FOR
+        if load > 4.0 * warmth * SPAN:
+            broken.add(4)
+    return broken
+
+
+def search(troubles=TROUBLES):
+    found, played = set(), 0
+    for versions in itertools.product(VERSIONS, VERSIONS):
+        for (what, box), when in itertools.product(troubles, WHEN):
+            found |= play(versions, what, box, when)
+            played += 1
+    return found, played
+
+
+def test_no_rule_is_broken_in_a_move_whatever_strikes():
+    found, played = search()
+    assert played == 270 and not found
+
+
+@pytest.mark.parametrize(
+    "rule, fault, troubles",
+    [
+        (
+            3,
+            (
+                "listed",
+                lambda whole: (
+                    lambda self, rows, *rest: whole(
+                        self, [(row[0], State.READY, *row[2:]) for row in rows], *rest
+                    )
+                ),
+            ),
+            [("drain", "s-01")],
+        ),
+        (4, ("has_room", lambda whole: lambda self, member, work: True), [("cold", "s-01")]),
+        (5, ("max_age", lambda whole: lambda self, lookup: 0.0), [("purge", "")]),
+    ],
+)
+def test_the_search_finds_a_fault(rule, fault, troubles, monkeypatch):
+    name, make = fault
+    monkeypatch.setattr(Director, name, make(getattr(Director, name)))
+    assert rule in search(troubles)[0]
