--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -59,6 +59,7 @@
 burst_until = 9
 burst_rate = {burst}
 connections = 8
+tries = 1
 [load beta]
 rate = 25
 objects = 60
--- a/mulleinrelay/cells/warden.py
+++ b/mulleinrelay/cells/warden.py
@@ -12,7 +12,7 @@
 from ..log import Log
 from . import store
 from .charter import Charter, CharterError
-from .governor import Asking, Board, Denied, Governor, Grant, prepare
+from .governor import Asking, Board, Denied, Governor, Grant, Prepared, prepare
 from .own import OwnFile
 from .records import Records
 
@@ -123,6 +123,8 @@
         self.stamp = stamp
         try:
             charter = store.load(self.own.assignment)
+            if charter == self.governor.charter:  # what `take` has written
+                return []
             if fault := refusal(self.governor.charter, charter):  # only this thread changes it
                 return [fault]
             ready = prepare(charter)
@@ -131,6 +133,13 @@
         except CharterError as wrong:
             return [f"assignment kept at version {self.governor.charter.version}: {wrong}"]
 
+    def take(self, ready: Prepared) -> None:
+        """A version that another part of the program has made, and has written to the file. Raises
+        CharterError."""
+        with self.lock:
+            words = self.governor.renew(self.clock(), ready)
+        self._say(words)
+
     def _say(self, words: list[str]) -> None:
         for word in words:
             self.log.event("cells", text=word)
--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -9,7 +9,11 @@
 from . import VERSION
 
 DONE, NOT_STARTED, BAD_CONFIGURATION, MISUSED, REFUSED = 0, 1, 2, 2, 3
-GROUPS = {"cells": "mulleinrelay.cells.commands", "lab": "mulleinrelay.lab.commands"}
+GROUPS = {"cells": "mulleinrelay.cells.commands", "ctl": "mulleinrelay.management.ctl",
+          "lab": "mulleinrelay.lab.commands"}
+
+
+EXTRAS = {"ctl": "management"}
 
 
 class Lazy(click.Group):
@@ -27,8 +31,9 @@
         except ModuleNotFoundError as missing:
             if (missing.name or "").startswith("mulleinrelay"):
                 raise
+            extra = EXTRAS.get(name, name)
             raise click.ClickException(
-                f"{name}: the library {missing.name} is missing; install mulleinrelay[{name}]") from None
+                f"{name}: the library {missing.name} is missing; install mulleinrelay[{extra}]") from None
 
 
 @click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
@@ -44,22 +49,28 @@
                      help="Our own file, as deploy/cells.ini (default: $MULLEINRELAY_CELLS; none: off).")
 
 
+MANAGEMENT = click.option("--management", metavar="FILE", envvar="MULLEINRELAY_MANAGEMENT",
+                          help="Our own file, as deploy/management.ini (default: $MULLEINRELAY_MANAGEMENT).")
+
+
 @main.command()
 @CONFIG
 @CELLS
-def serve(config: str | None, cells: str | None) -> None:
+@MANAGEMENT
+def serve(config: str | None, cells: str | None, management: str | None) -> None:
     """Run one director until SIGTERM; SIGHUP reads the configuration again."""
     from .serving import serve
-    sys.exit(serve(config, cells))
+    sys.exit(serve(config, cells, management))
 
 
 @main.command()
 @CONFIG
 @CELLS
-def check(config: str | None, cells: str | None) -> None:
+@MANAGEMENT
+def check(config: str | None, cells: str | None, management: str | None) -> None:
     """Read the configurations and say what is wrong with them."""
     from .configuration import ConfigurationError, from_environment
-    if cells is None or config or os.environ.get("LB_CONFIG"):
+    if (cells is None and management is None) or config or os.environ.get("LB_CONFIG"):
         try:
             start = from_environment(os.environ, config)
         except ConfigurationError as wrong:
@@ -80,6 +91,17 @@
         click.echo(f"cells: {'on' if own.enabled else 'off'}, {held}")
 
 
+    if management is not None:
+        from .cells.charter import CharterError
+        from .management.own import load_own as load_management
+        try:
+            managed = load_management(management)
+        except CharterError as wrong:
+            faulty(str(wrong))
+        click.echo(f"management: {'on' if managed.enabled else 'off'}, {managed.listen}, "
+                   f"{'TLS' if managed.certificate else 'no TLS'}, {len(managed.rights.by_name)} roles")
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from .interface import Leg, Listing, Lookup, Note, Order, Outcome, Place, Pool, State, Terms, UseCase
 from .log import Log
@@ -21,6 +21,13 @@
 ANSWER_SLACK = 8.0  # a lookup without a verdict so long after its client's time is broken off by the caller
 
 
+class Intent(Protocol):
+    """What staff want of nodes, over the list. Called under the lock."""
+
+    def told(self, now: float, entries: list[Listing], whole: bool) -> None: ...
+    def state(self, entry: Listing) -> State: ...
+
+
 @dataclass(slots=True, eq=False)
 class GiveUp:
     """Call this leg off."""
@@ -74,6 +81,8 @@
         self.lives: dict[Lookup, Life] = {}
         self.nodes: dict[str, Member] = {}
         self.places: dict[Member, Place] = {}
+        self.entries: dict[str, Listing] = {}  # as the list told them last, those that have gone left out
+        self.intent: Intent | None = None  # what staff want over the list
         self.timers: list[tuple[float, int, str, Lookup | Leg]] = []
         self.timer_count, self.resting_until = 0, 0.0
         self.probes: list[tuple[Member, Place]] = []
@@ -156,27 +165,61 @@
 
     def listed(self, entries: list[Listing], whole: bool) -> None:
         with self.lock:
-            rows, named = [], set()
+            self.entries = {} if whole else self.entries
             for entry in entries:
-                member = self.nodes.get(entry.name)
-                if member is None:
-                    member = self.nodes[entry.name] = Member(_key(entry.name))
-                named.add(entry.name)
-                place = self.places.get(member)
-                if place is None or place.address != entry.address or member.started != entry.started:
-                    if place is not None:
-                        place.gone = True
-                    place = self.places[member] = Place(entry.name, entry.address)
-                place.gone = entry.state == State.GONE
-                rows.append((member, entry.state, entry.share, entry.kind, entry.zone, entry.listed_cell,
-                             entry.started))
-            if whole:
-                for name, member in self.nodes.items():
-                    self.places[member].gone |= name not in named
-            self._play("listed", rows, whole, False)
-            for name, member in list(self.nodes.items()):  # those that have gone would add up with time
-                if self.places[member].gone and member not in self.director.members:
-                    del self.nodes[name], self.places[member]
+                if entry.state == State.GONE:
+                    self.entries.pop(entry.name, None)
+                else:
+                    self.entries[entry.name] = entry
+            if self.intent is not None:
+                self.intent.told(self.clock(), entries, whole)
+            self._list(entries, whole)
+
+    def wanted(self, make: Callable[["Intent"], list[str]]) -> None:
+        """What staff want has changed: `make` changes the intent and gives the nodes that it touches."""
+        with self.lock:
+            touched = [self.entries[name] for name in make(self.intent) if name in self.entries]
+            if touched:
+                self._list(touched, False)
+
+    def boxes(self) -> list[tuple[Listing, State, Member, float | None, float]]:
+        """For staff, by name: as the list tells a node, the state that this director goes by, what it
+        believes, the smoothed delay (ms; None: not measured) and its warmth."""
+        with self.lock:
+            now, director = self.clock(), self.director
+            director.now = max(director.now, now)
+            return [(entry, self._state(entry), member, member.recent.mean(now), director.warmth(member))
+                    for name, entry in sorted(self.entries.items()) if (member := self.nodes.get(name))]
+
+    def purges_binding(self) -> int:
+        return len(self.director.purges)
+
+    def _state(self, entry: Listing) -> State:
+        return self.intent.state(entry) if self.intent is not None else entry.state
+
+    def _list(self, entries: list[Listing], whole: bool) -> None:
+        """Tells the module, under the lock."""
+        rows, named = [], set()
+        for entry in entries:
+            member = self.nodes.get(entry.name)
+            if member is None:
+                member = self.nodes[entry.name] = Member(_key(entry.name))
+            named.add(entry.name)
+            place = self.places.get(member)
+            if place is None or place.address != entry.address or member.started != entry.started:
+                if place is not None:
+                    place.gone = True
+                place = self.places[member] = Place(entry.name, entry.address)
+            place.gone = entry.state == State.GONE
+            rows.append((member, self._state(entry), entry.share, entry.kind, entry.zone, entry.listed_cell,
+                         entry.started))
+        if whole:
+            for name, member in self.nodes.items():
+                self.places[member].gone |= name not in named
+        self._play("listed", rows, whole, False)
+        for name, member in list(self.nodes.items()):  # those that have gone would add up with time
+            if self.places[member].gone and member not in self.director.members:
+                del self.nodes[name], self.places[member]
 
     def purged(self, key: int, group: int, at: float) -> None:
         with self.lock:
--- /dev/null
+++ b/mulleinrelay/management/model.py
@@ -0,0 +1,60 @@
+"""The YANG module, by yangson: what a tree may hold, and whether one is valid."""
+
+import json
+import os
+from typing import Any
+
+from yangson import DataModel
+from yangson.enumerations import ContentType
+from yangson.exceptions import YangsonException
+from yangson.schemanode import DataNode, LeafListNode, LeafNode, ListNode
+
+from .datastore import RefusedError
+from .paths import Shape, bare
+
+NAME, REVISION, NAMESPACE = "mulleinrelay-fleet", "2026-12-01", "urn:mulleinrelay:fleet"
+FOLDER = os.path.join(os.path.dirname(os.path.abspath(__file__)), "yang")
+LIBRARY = {
+    "ietf-yang-library:modules-state": {
+        "module-set-id": "1",
+        "module": [
+            {"name": NAME, "revision": REVISION, "namespace": NAMESPACE, "conformance-type": "implement"}
+        ],
+    }
+}
+
+
+class Model:
+    def __init__(self) -> None:
+        self.data = DataModel(json.dumps(LIBRARY), (FOLDER,))
+        self.shape = _shape(self.data.schema, False)
+
+    def check(self, tree: dict[str, Any]) -> dict[str, Any]:
+        """The tree in its canonical form, state left out; raises RefusedError whose text says where and
+        why."""
+        if not tree:
+            return tree
+        try:
+            root = self.data.from_raw({f"{NAME}:{name}": held for name, held in tree.items()})
+            root.validate(ctype=ContentType.config)
+        except YangsonException as wrong:
+            raise RefusedError(_worded(wrong)) from None
+        except (TypeError, ValueError, AttributeError, KeyError) as wrong:  # of values of a strange form
+            raise RefusedError(f"a value can't be read: {wrong}") from None
+        return bare(root.raw_value())
+
+
+def _worded(wrong: YangsonException) -> str:
+    return " ".join(str(wrong).split()).replace(f"{NAME}:", "")[:500]
+
+
+def _shape(node: Any, state: bool) -> Shape:
+    children = {}
+    for child in getattr(node, "children", ()):
+        if isinstance(child, DataNode) and child.name != "drain-changed":
+            children[child.name] = _shape(child, state or child.config is False)
+    keys = tuple(key[0] for key in node.keys) if isinstance(node, ListNode) else ()
+    is_leaf = isinstance(node, LeafNode | LeafListNode)
+    return Shape(
+        {} if is_leaf else children, keys, isinstance(node, ListNode), isinstance(node, LeafListNode), state
+    )
--- /dev/null
+++ b/mulleinrelay/management/part.py
@@ -0,0 +1,229 @@
+"""The running director as management reaches it: its state as a tree, and the parts that take a change
+over."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from ..cells import governor, moves, store
+from ..cells.charter import Charter, CharterError
+from ..configuration import Start
+from ..facade import Facade
+from ..interface import Listing, State
+from . import intent as wanting
+from .datastore import RefusedError
+from .intent import Intent, Want, left_without, wants
+from .mapping import charter_from, charter_tree, decimal
+
+NAMES = {State.READY: "ready", State.DRAINING: "draining", State.GONE: "gone"}
+
+
+class DrainPart:
+    """Staff's drains, over the list."""
+
+    name = "drains"
+
+    def __init__(self, facade: Facade, cells: Callable[[], dict[str, list[str]]]) -> None:
+        self.facade, self.cells, self.intent = facade, cells, Intent()
+        with facade.lock:
+            facade.intent = self.intent
+            self.intent.told(facade.clock(), list(facade.entries.values()), True)
+
+    def prepare(self, old: dict[str, Any], new: dict[str, Any]) -> dict[str, Want]:
+        wanted = wants(new)
+        with self.facade.lock:
+            before = [
+                name for name, drain in self.intent.drains.items() if drain.phase == wanting.Phase.BINDING
+            ]
+            listed = dict(self.intent.listed)
+        if wanted != wants(old) and (
+            why := left_without(listed, before, wanted, self._is_cache, self.cells())
+        ):
+            raise RefusedError(f"{why}; set forced to drain all the same")
+        return wanted
+
+    def commit(self, ready: dict[str, Want]) -> Callable[[], None]:
+        before: list[Intent] = []
+
+        def take(held: Any) -> list[str]:
+            before.append(self.intent.copy())
+            return self.intent.want(self.facade.clock(), ready)
+
+        def put_back(held: Any) -> list[str]:
+            touched = set(self.intent.drains) | set(before[0].drains)
+            self.intent.drains = before[0].drains
+            return sorted(touched)
+
+        self.facade.wanted(take)
+        return lambda: self.facade.wanted(put_back)
+
+    def _is_cache(self, entry: Listing) -> bool:
+        terms = self.facade.terms
+        return entry.kind not in (terms.parent_kind, terms.origin_kind) and entry.zone == terms.zone
+
+
+class CellsPart:
+    """The assignment, where cells are on. What is changed here goes into the assignment file, too."""
+
+    name = "assignment"
+
+    def __init__(self, warden: Any, clock: Callable[[], float]) -> None:
+        self.warden, self.clock = warden, clock
+
+    def tree(self) -> dict[str, Any]:
+        return charter_tree(self.charter()) if self.warden is not None else {}
+
+    def charter(self) -> Charter:
+        return self.warden.governor.charter
+
+    def prepare(self, old: dict[str, Any], new: dict[str, Any]) -> governor.Prepared | None:
+        wanted = new.get("fleet", {}).get("assignment")
+        if self.warden is None:
+            if wanted:
+                raise RefusedError("cells are off at this director (serve --cells)")
+            return None
+        if wanted is None:
+            raise RefusedError("the assignment can't be taken out while cells are on")
+        now = self.charter()
+        try:
+            charter = charter_from(wanted, now.version + 1, round(self.clock()))
+            if replace(charter, version=now.version, written=now.written) == now:
+                return None
+            return governor.prepare(charter)
+        except CharterError as wrong:
+            raise RefusedError(str(wrong)) from None
+
+    def commit(self, ready: governor.Prepared | None) -> Callable[[], None]:
+        if ready is None:
+            return lambda: None
+        before = self.charter()
+        self._take(ready, before.version)
+
+        def undo() -> None:
+            back = replace(before, version=ready.charter.version + 1)
+            self._take(governor.prepare(back), ready.charter.version)
+
+        return undo
+
+    def _take(self, ready: governor.Prepared, built_on: int) -> None:
+        try:
+            with store.sole_writer(self.warden.own.assignment):
+                store.save(self.warden.own.assignment, ready.charter, ready.charter.written, built_on)
+            self.warden.take(ready)
+        except CharterError as wrong:
+            raise RefusedError(str(wrong), "failed") from None
+
+
+class View:
+    """What a director tells of itself, as the model's state."""
+
+    def __init__(self, start: Start, facade: Facade, warden: Any, drains: DrainPart) -> None:
+        self.start, self.facade, self.warden, self.drains = start, facade, warden, drains
+        self.zones = {place: name for name, place in start.zones.items()}
+        self.kinds = {place: name for name, place in start.kinds.items()}
+        self.use_cases = [
+            {
+                "name": name,
+                "repeat": case.repeat,
+                "latency-goal": decimal(case.latency_goal),
+                "client-timeout": decimal(case.client_timeout),
+                "memory-span": decimal(case.memory_span),
+            }
+            for name, case in start.use_cases.items()
+        ]
+
+    def tree(
+        self, wanted: dict[str, Any], datastore: dict[str, Any], names: set[str] | None
+    ) -> dict[str, Any]:
+        """Config and state together, of the named children of /fleet or of all; `wanted` is not changed."""
+        now = self.facade.clock()
+        fleet = dict(wanted.get("fleet", {}))
+        boxes, out = self._boxes() if names is None or names & {"boxes", "drains"} else ([], {})
+        if drains := fleet.get("drains", {}).get("drain"):
+            fleet["drains"] = {
+                "drain": [one | {"state": self._drain(now, one["box"], out)} for one in drains]
+            }
+        if self.warden is not None and "assignment" in fleet:
+            fleet["assignment"] = self._assignment(now, fleet["assignment"])
+        state = {
+            "boxes": {"box": boxes},
+            "purges": {"binding": self.facade.purges_binding()},
+            "use-cases": {"use-case": self.use_cases},
+            "datastore": datastore,
+        }
+        return {
+            "fleet": fleet | {name: held for name, held in state.items() if names is None or name in names}
+        }
+
+    def _boxes(self) -> tuple[list[dict[str, Any]], dict[str, int]]:
+        found, out = [], {}
+        for entry, state, member, delay, warmth in self.facade.boxes():
+            out[entry.name] = len(member.out)
+            found.append(
+                {
+                    "name": entry.name,
+                    "address": f"{entry.address[0]}:{entry.address[1]}",
+                    "zone": self.zones.get(entry.zone, ""),
+                    "kind": self.kinds.get(entry.kind, ""),
+                    "listed-state": NAMES[entry.state],
+                    "state": NAMES[state],
+                    "started": str(int(entry.started)),
+                    "shunned": member.shunned,
+                    "warmth": decimal(warmth),
+                    "legs-out": len(member.out),
+                }
+                | ({"delay": decimal(delay)} if delay is not None else {})
+            )
+        return found, out
+
+    def _drain(self, now: float, box: str, out: dict[str, int]) -> dict[str, Any]:
+        drain = self.drains.intent.drains.get(box)
+        if drain is None:
+            return {"phase": "waiting"}
+        differs = int(max(0.0, now - drain.ready_since)) if drain.ready_since else 0
+        return {
+            "phase": drain.phase.value,
+            "since": str(int(drain.since)),
+            "disagrees-for": differs,
+            "legs-out": out.get(box, 0),
+        }
+
+    def _assignment(self, now: float, tree: dict[str, Any]) -> dict[str, Any]:
+        with self.warden.lock:
+            status = self.warden.governor.status(now)
+            charter = self.warden.governor.charter
+        found = dict(tree)
+        found["cell"] = [
+            one | {"state": _cell(status["cells"][one["name"]])} if one["name"] in status["cells"] else one
+            for one in tree.get("cell", ())
+        ]
+        found["move"] = [
+            one
+            | {
+                "state": {
+                    "stage": moves.stage(charter.moves[one["name"]], now).value,
+                    "share": decimal(moves.shifted(charter.moves[one["name"]], now)),
+                }
+            }
+            if one["name"] in charter.moves
+            else one
+            for one in tree.get("move", ())
+        ]
+        found["release"] = [
+            one | {"state": {"phase": status["releases"][one["name"]]["phase"]}}
+            if one["name"] in status["releases"]
+            else one
+            for one in tree.get("release", ())
+        ]
+        return {name: held for name, held in found.items() if held != []}
+
+
+def _cell(told: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "lost": told["lost"],
+        "open": decimal(told["open"]),
+        "width": decimal(told["width"]),
+        "satisfied": str(told["satisfied"]),
+        "settled": str(told["settled"]),
+        "turned-away": str(told["denied"]),
+    }
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from ..cells.own import OwnFile
+    from ..management.own import OwnFile as ManagementFile
 
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY, ASK_EVERY = 250.0, 25.0
@@ -30,9 +31,10 @@
 
 
 class Service:
-    def __init__(self, start: Start, log: Log, cells: "OwnFile | None" = None) -> None:
-        """`cells`: tenants are confined as that file says. Raises CharterError where its assignment can't be
-        used."""
+    def __init__(self, start: Start, log: Log, cells: "OwnFile | None" = None,
+                 management: "ManagementFile | None" = None) -> None:
+        """`cells`: tenants are confined as that file says. `management`: staff reach it by gNMI. Raises
+        CharterError where the assignment can't be used."""
         self.start_settings, self.log = start, log
         self.phase = Phase.STARTING
         self.offset = time.time() * 1000.0 - time.monotonic() * 1000.0  # taken once: steps don't reach us
@@ -47,6 +49,8 @@
             from ..cells.warden import Warden  # its libraries are there only where it is on
             self.warden = Warden(cells, start, self.facade, self.clock, log, self.front.lookups_most)
             self.front.gate = self.warden
+        self.managed = management if management is not None and management.enabled else None
+        self.server = None
 
     def clock(self) -> float:
         """Unix milliseconds."""
@@ -57,6 +61,12 @@
         if self.warden is not None:
             self.warden.begin()
         threading.Thread(target=self._keep_time, name="clock", daemon=True).start()
+        if self.managed is not None:
+            from ..management.server import build
+            self.server = build(self.managed, self.start_settings, self.facade, self.warden, self.clock,
+                                self.log)
+            self.server.begin()
+            self.server.manager.begin()
         self.front.begin()
         self.front.well = True
         self._enter(Phase.READY)
@@ -87,6 +97,8 @@
             time.sleep(0.02)
         self.front.stop()
         self.bus.stop()
+        if self.server is not None:
+            self.server.stop()
         if self.warden is not None:
             self.warden.stop()
         self.caches.stop()
--- a/mulleinrelay/serving.py
+++ b/mulleinrelay/serving.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from .configuration import ConfigurationError, from_environment
+from .configuration import ConfigurationError, Start, from_environment
 from .log import Log
 from .net.service import Service
 
@@ -17,7 +17,7 @@
 DONE, NOT_STARTED, BAD_CONFIGURATION = 0, 1, 2
 
 
-def serve(config: str | None, cells: str | None) -> int:
+def serve(config: str | None, cells: str | None, management: str | None = None) -> int:
     """Gives the exit code."""
     told: queue.SimpleQueue[int] = queue.SimpleQueue()  # signals, which the main thread obeys in turn
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # HUP, unhandled, would end the program
@@ -26,16 +26,19 @@
         start = from_environment(os.environ, config)
         threading.stack_size(STACK)
         log = Log(start.name)
-        service = make(start, log, cells)
+        service = make(start, log, cells, management)
     except ConfigurationError as wrong:
         print(f"mulleinrelay: {wrong}", file=sys.stderr)
         return BAD_CONFIGURATION
     try:
         service.start()
     except OSError as wrong:
-        print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {wrong.strerror}",
-              file=sys.stderr)
+        why = wrong.strerror or str(wrong)
+        print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {why}", file=sys.stderr)
         return NOT_STARTED
+    except RuntimeError as wrong:  # what management kept can't be used, or its port is taken
+        print(f"mulleinrelay: {wrong}", file=sys.stderr)
+        return BAD_CONFIGURATION
     gc.collect()
     gc.freeze()  # what stands at the start stays: the collector need not look at it again
     while told.get() == signal.SIGHUP:
@@ -46,22 +49,28 @@
     return DONE
 
 
-def make(start, log: Log, cells: str | None) -> Service:
-    """Raises ConfigurationError, also for what is wrong with our own file."""
-    if not cells:
+def make(start: Start, log: Log, cells: str | None, management: str | None = None) -> Service:
+    """Raises ConfigurationError, also for what is wrong with our own files."""
+    if not cells and not management:
         return Service(start, log)
     try:
         from .cells.charter import CharterError
-        from .cells.own import load_own
         try:
-            return Service(start, log, load_own(cells))
+            held, managed = None, None
+            if cells:
+                from .cells.own import load_own
+                held = load_own(cells)
+            if management:
+                from .management.own import load_own as load_management
+                managed = load_management(management)
+            return Service(start, log, held, managed)
         except CharterError as wrong:
             raise ConfigurationError(str(wrong)) from None
     except ModuleNotFoundError as missing:
         if (missing.name or "").startswith("mulleinrelay"):
             raise
-        raise ConfigurationError(f"[cells] enabled: the library {missing.name} is missing; install "
-                                 "mulleinrelay[cells]") from None
+        raise ConfigurationError(f"the library {missing.name} is missing; install mulleinrelay[cells] or "
+                                 "mulleinrelay[management]") from None
 
 
 def renew(service: Service, log: Log, path: str | None) -> None:
