Admission on a short path; CPU measured by processes that play in turn

Change: two processes play 100 lookups in turn and the median over 60 turns counts; tenants at home in a standing cell keep their spot, a lock's work is shorter.

--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -26,7 +26,7 @@
 
 BEFORE = "b88d23d"  # the version without cells
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-PAIRS = 3
+TURNS, LOOKUPS = 60, 100
 
 FLOOD = """
 [lab]
@@ -142,19 +142,36 @@
     }
 
 
-def cpu(folder: str, cells: str = "") -> float:
-    """Microseconds of CPU a lookup of the version in a folder."""
-    script = os.path.join(ROOT, "benchmarks", "drive.py")
-    done = subprocess.run(
-        [sys.executable, script, folder, cells], capture_output=True, check=True, timeout=60
-    )
-    return json.loads(done.stdout)["us"]
+class Driven:
+    """One version, or one way, of a director as a process that plays lookups when it is told to."""
+
+    def __init__(self, folder: str, cells: str = "") -> None:
+        script = os.path.join(ROOT, "benchmarks", "drive.py")
+        self.process = subprocess.Popen(
+            [sys.executable, script, folder, cells], text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+
+    def play(self, lookups: int) -> float:
+        self.process.stdin.write(f"{lookups}\n")
+        self.process.stdin.flush()
+        return float(self.process.stdout.readline())
+
+    def end(self) -> None:
+        self.process.stdin.close()
+        self.process.wait(10.0)
+        self.process.stdout.close()
 
 
-def paired(one: tuple[str, str], other: tuple[str, str], pairs: int = PAIRS) -> tuple[float, float]:
-    """The median over pairs, run in turn, of the first over the second; and the first's median."""
-    found = [(cpu(*one), cpu(*other)) for _ in range(pairs)]
-    return statistics.median(a / b for a, b in found), statistics.median(a for a, _ in found)
+def paired(one: tuple[str, str], other: tuple[str, str]) -> tuple[float, float]:
+    """CPU a lookup of the first over the second, and the first's in microseconds: two processes that play in
+    turn, a few lookups at a time, so that what slows this machine slows both. The median over the turns."""
+    both = [Driven(*one), Driven(*other)]
+    for driven in both:
+        driven.play(500)
+    found = [[driven.play(LOOKUPS) for driven in both] for _ in range(TURNS)]
+    for driven in both:
+        driven.end()
+    return statistics.median(a / b for a, b in found), statistics.median(1e6 * a / LOOKUPS for a, _ in found)
 
 
 def before(folder: str) -> str | None:
@@ -192,7 +209,7 @@
     off = paired((ROOT, ""), (older, "")) if older else None
     on, closed = (
         paired((ROOT, files["on"]), (ROOT, "")),
-        paired((ROOT, files["closed"]), (ROOT, files["on"]), 3),
+        paired((ROOT, files["closed"]), (ROOT, files["on"])),
     )
     return {
         "off_cpu_ratio": round(off[0], 4) if off else None,
@@ -270,6 +287,9 @@
             "orders_run": sum(run["orders_run"] for run in runs),
             "lookups_lost": sum(run["total"]["no_answer"] + run["total"]["cut_off"] for run in runs),
             "answers_twice": sum(run["total"]["answers_twice"] for run in runs),
+            "no_answer_and_cut_off_by_run": [
+                [run["total"]["no_answer"], run["total"]["cut_off"]] for run in runs
+            ],
         }
     if as_json:
         click.echo(json.dumps(found))
--- a/benchmarks/drive.py
+++ b/benchmarks/drive.py
@@ -1,14 +1,15 @@
 """Drives the front and the module of one director in this process, without nodes: CPU of a lookup. Run as a
-script with a folder that holds some version of the package, so that versions can be set side by side."""
+script with a folder that holds some version of the package, so that versions can be set side by side: it
+plays as many lookups as each line of its input says, and answers with the CPU they took."""
 
+import itertools
 import json
 import socket
 import struct
 import sys
-import threading
 import time
+from collections.abc import Callable
 
-LOOKUPS, WARM_UP = 4_000, 500
 OBJECTS = 300
 
 
@@ -103,7 +104,8 @@
     )
 
 
-def drive(cells: str) -> dict:
+def drive(cells: str) -> Callable[[int], float]:
+    """Gives what plays so many lookups and tells the CPU they took."""
     from mulleinrelay.configuration import decode
     from mulleinrelay.interface import Note, Outcome
     from mulleinrelay.net import front, resp, service
@@ -139,26 +141,31 @@
     held = type("Told", (), {"kept": False, "body": bytes(400)})()
     made.front.caches = Nodes()
     ours, theirs = socket.socketpair()
-    client, got = front.Client(ours), []
-
-    def read():
-        while piece := theirs.recv(1 << 16):
-            got.append(len(piece))
-
-    threading.Thread(target=read, daemon=True).start()
-    # What the reader of the other end takes isn't the director's: only this thread's CPU counts
-    frames = [frame(number) for number in range(1, WARM_UP + LOOKUPS + 1)]
-    for each in frames[:WARM_UP]:
-        made.front._call(client, each)
-    begun = time.thread_time()
-    for place, each in enumerate(frames[WARM_UP:]):
-        made.front._call(client, each)
-        if place % 50 == 0:
-            made.facade.tick()
-    used = time.thread_time() - begun
-    return {"us": 1e6 * used / LOOKUPS, "bytes": sum(got)}
+    client = front.Client(ours)
+
+    theirs.setblocking(False)
+    numbers = itertools.count(1)
+
+    def chunk(lookups: int) -> float:
+        """Seconds of this thread's CPU; the other end is read between chunks, which fit into its buffer."""
+        frames = [frame(next(numbers)) for _ in range(lookups)]
+        begun = time.thread_time()
+        for each in frames:
+            made.front._call(client, each)
+        made.facade.tick()
+        used = time.thread_time() - begun
+        try:
+            while theirs.recv(1 << 20):
+                continue
+        except BlockingIOError:
+            pass
+        return used
+
+    return chunk
 
 
 if __name__ == "__main__":
     sys.path.insert(0, sys.argv[1])
-    print(json.dumps(drive(sys.argv[2] if len(sys.argv) > 2 else "")))
+    run = drive(sys.argv[2] if len(sys.argv) > 2 else "")
+    for line in sys.stdin:  # a number of lookups a line
+        print(run(int(line)), flush=True)
--- a/mulleinrelay/cells/governor.py
+++ b/mulleinrelay/cells/governor.py
@@ -267,14 +267,20 @@
             if wait := guests.wait(now, home.reserve, host.warmth(), room.width.now_most, rate):
                 return self._deny(account, asking, "reserve of the neighbour", wait, room)
             guests.take(now)
-        self._take(now, account, retry)
+        account.pace.take(now)
+        account.granted += 1
+        if retry:
+            account.retries.take()
+        else:
+            account.retries.first()
         if lanes:
             self.rates.take(lanes[0], now)
             room.rates.take(lanes[1], now)
         room.shares.take(share, amount)
         self.cells.take(cell_share, amount)
         account.body += body
-        self.placement.note(now, tenant, asking.receipt, asking.use_case, spot)
+        if asking.receipt:
+            self.placement.note(now, tenant, asking.receipt, asking.use_case, spot)
         return Grant(tenant, spot.cell, spot.pool, amount, body, account, room, share, cell_share, guests)
 
     def settle(self, now: float, grant: Grant, good: bool, owed: bool, delay: float) -> str:
@@ -286,26 +292,20 @@
         room, amount = grant.room, grant.amount
         room.shares.give(grant.share, amount)
         self.cells.give(grant.cell_share, amount)
-        grant.account.body = max(0.0, grant.account.body - grant.body)
+        if grant.body:
+            grant.account.body = max(0.0, grant.account.body - grant.body)
         if grant.guests is not None:
             grant.guests.give()
         if owed:
             room.total += 1
             room.good += good
-            for course in self.courses.values():
-                course.saw(now, grant.cell, good, delay)
+            if self.courses:
+                for course in self.courses.values():
+                    course.saw(now, grant.cell, good, delay)
         if good and room.width.saw(now, delay):
             return f"cell {grant.cell} narrowed to {room.width.now_most:.0f} lookups open"
         return ""
 
-    def _take(self, now: float, account: Account, retry: bool) -> None:
-        account.pace.take(now)
-        account.granted += 1
-        if retry:
-            account.retries.take()
-        else:
-            account.retries.first()
-
     def _lane(self, now: float, room: Room, lane: Lane, tenant: str, weight: float) -> Lane:
         own = room.rates.lane(tenant, weight)
         if not room.limits.rate and self.rates.rate and now >= room.rated_at + FairPace.RECKONED_FOR:
--- a/mulleinrelay/cells/limits.py
+++ b/mulleinrelay/cells/limits.py
@@ -126,7 +126,7 @@
 
     SPAN = 1_000.0  # ms: who asked for nothing so long has no part; demand is the peak of two of these
     HEAD_ROOM = 0.25
-    RECKONED_FOR = 20.0  # ms: how long sums over all parties hold
+    RECKONED_FOR = 50.0  # ms: how long sums over all parties hold
 
     def __init__(self, width: float) -> None:
         self.width, self.open = width, 0.0
@@ -147,11 +147,13 @@
         return max(1.0, self.width * share.weight / max(self.weights, share.weight))
 
     def may(self, share: Share, now: float, amount: float = 1.0) -> bool:
-        active = now < share.asked + self.SPAN
-        share.wants(now, self.SPAN, amount)
+        wanted, active = share.open + amount, now < share.asked + self.SPAN
+        if now >= share.span_ends or wanted > share.peak:
+            share.wants(now, self.SPAN, amount)
+        share.asked = now
         if not active or now >= self.reckoned_at + self.RECKONED_FOR:
             self._reckon(now)
-        if share.most and share.open + amount > share.most:
+        if share.most and wanted > share.most:
             return False
         if self.open + amount + self.wanted <= self.width:
             return True
@@ -170,8 +172,9 @@
         self.open += amount
 
     def give(self, share: Share, amount: float = 1.0) -> None:
-        share.open = max(0.0, share.open - amount)
-        self.open = max(0.0, self.open - amount)
+        left, whole = share.open - amount, self.open - amount
+        share.open = left if left > 1e-6 else 0.0  # bodies count in fractions, whose sums are not whole
+        self.open = whole if whole > 1e-6 else 0.0
 
     def _reckon(self, now: float) -> None:
         """Sums over the active parties; those that left long ago are forgotten."""
--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any
 
-from ..interface import RECEIPTED, Pool, Purse, UseCase
+from ..interface import PURE, RECEIPTED, Pool, Purse, UseCase
 from . import moves, reserve
 from .assignment import caches_of, homes, shuffled
 from .charter import Cell, Charter, CharterError, Move
@@ -104,7 +104,7 @@
         shuffles = {cell: count for cell, count in shuffles.items() if count >= 0}
         if shuffles != self.shuffles:
             self.shuffles = shuffles
-            self.pools.clear()
+            self._forget()
 
     def listed(self, now: float, caches: Iterable[tuple[str, Any, float]]) -> list[str]:
         """The ready caches of this location: name, node, warmth (0 to 1). Gives words on changes of mode."""
@@ -120,12 +120,14 @@
         for name, standing in self.standings.items():
             standing.cell = charter.cells[name]
         self.pools: dict[tuple[str, str, str], Spot] = {}
+        # tenants at home in cells that stand: all their pure lookups go alike
+        self.steady: dict[str, Spot] = {}
 
     def _stand(self, now: float) -> list[str]:
         self.by_cell = caches_of(self.charter, [name for name, _, _ in self.caches])
         self.nodes = {name: node for name, node, _ in self.caches}
         warmth = {name: warm for name, _, warm in self.caches}
-        self.pools.clear()
+        self._forget()
         words = []
         for name, standing in self.standings.items():
             here = self.by_cell[name]
@@ -138,6 +140,8 @@
 
     def spot(self, now: float, tenant: str, key: int, use_case: UseCase, receipt: str, repeated: bool
              ) -> Spot | Nowhere:
+        if use_case.repeat == PURE and (steady := self.steady.get(tenant)) is not None:
+            return steady
         home = self.homes.get(tenant)
         if home is None:
             return Nowhere.HOMELESS
@@ -156,7 +160,11 @@
             if to == Way.NOWHERE:
                 return Nowhere.UNPROVEN
             cell, other = self._sides(now, move, key, to, anywhere)
-        return self._at(now, tenant, key, cell, other, use_case, anywhere, repeated)
+        found = self._at(now, tenant, key, cell, other, use_case, anywhere, repeated)
+        standing = self.standings[home]
+        if move is None and use_case.repeat == PURE and not standing.lost and not standing.back_since:
+            self.steady[tenant] = found
+        return found
 
     def note(self, now: float, tenant: str, receipt: str, use_case: UseCase, spot: Spot) -> None:
         """The lookup is taken: its repeats go the same way."""
@@ -195,7 +203,7 @@
         spot = self.pools.get((tenant, cell, other))
         if spot is None:
             if len(self.pools) >= POOLS_MOST:
-                self.pools.clear()
+                self._forget()
             caches = self._nodes(tenant, self.charter.cells[cell])
             aside = self._nodes(tenant, self.charter.cells[other]) if other else {}
             move = self.moving.get(tenant)
@@ -207,6 +215,10 @@
             spot = self.pools[tenant, cell, other] = Spot(cell, pool)
         return spot
 
+    def _forget(self) -> None:
+        self.pools.clear()
+        self.steady.clear()
+
     def _nodes(self, tenant: str, cell: Cell) -> dict[Any, None]:
         count = self.shuffles.get(cell.name, cell.shuffle)
         return {self.nodes[name]: None for name in shuffled(tenant, self.by_cell[cell.name], count)}
@@ -216,6 +228,6 @@
         if found is None:
             if len(self.purses) >= POOLS_MOST:
                 self.purses.clear()
-                self.pools.clear()
+                self._forget()
             found = self.purses[tenant] = Purse(PURSE_AT_FIRST)
         return found
--- a/mulleinrelay/lab/play.py
+++ b/mulleinrelay/lab/play.py
@@ -99,19 +99,30 @@
 class Director:
     """One director as a process."""
 
-    def __init__(self, name: str, folder: str, whole: dict[str, Any], own: str | None, log_path: str) -> None:
-        self.address = ("127.0.0.1", free_port())
+    def __init__(self, name: str, folder: str, whole: dict[str, Any], own: str | None, managed: bool) -> None:
+        self.name, self.address, self.managed = name, ("127.0.0.1", free_port()), ""
         path = os.path.join(folder, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(whole | {"name": name, "listen": f"127.0.0.1:{self.address[1]}"}, file)
-        self.log = open(log_path, "wb")  # closed with the process
-        command = [sys.executable, "-m", "mulleinrelay", "serve", "--config", path]
+        self.command = [sys.executable, "-m", "mulleinrelay", "serve", "--config", path]
+        self.command += ["--cells", own] if own else []
+        if managed:
+            self.managed = f"127.0.0.1:{free_port()}"
+            file_name = os.path.join(folder, f"{name}-management.ini")
+            with open(file_name, "w", encoding="utf-8") as file:
+                file.write(f"[management]\nenabled = yes\ninsecure_loopback = yes\nlisten = {self.managed}\n"
+                           f"state_dir = state-{name}\n")
+            self.command += ["--management", file_name]
+        self.log_path = os.path.join(folder, f"{name}.log")
+        self.begin()
+
+    def begin(self) -> None:
+        self.log = open(self.log_path, "ab")  # closed with the process
         here = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
         environment = os.environ | {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": here}
-        environment.pop("MULLEINRELAY_CELLS", None)
-        self.process = subprocess.Popen(
-            command + (["--cells", own] if own else []), stderr=self.log, stdout=self.log, env=environment
-        )
+        for name in ("MULLEINRELAY_CELLS", "MULLEINRELAY_MANAGEMENT"):
+            environment.pop(name, None)
+        self.process = subprocess.Popen(self.command, stderr=self.log, stdout=self.log, env=environment)
 
     def ready(self) -> bool:
         try:
@@ -219,14 +230,21 @@
                 },
                 "settings": settings(scenario),
             }
-            self.directors.append(
-                Director(f"n{place}", self.folder, whole, own, os.path.join(self.folder, f"n{place}.log"))
-            )
+            self.directors.append(Director(f"n{place}", self.folder, whole, own, scenario.management))
+        self._wait_ready()
+
+    def again(self, director: Director) -> None:
+        """Starts one that has ended once more, as it was."""
+        director.log.close()
+        director.begin()
+        self._wait_ready()
+
+    def _wait_ready(self) -> None:
         end = time.monotonic() + READY_WITHIN
         while not all([director.ready() for director in self.directors]):
             if time.monotonic() > end:
                 raise RuntimeError(f"a director was not ready within {READY_WITHIN:.0f} s")
-            time.sleep(0.05)
+            time.sleep(0.02)
 
     def _start_load(self) -> None:
         self.began = now_ms() + 200.0
--- a/mulleinrelay/lab/scenario.py
+++ b/mulleinrelay/lab/scenario.py
@@ -33,6 +33,7 @@
     directors: int
     seed: int
     cells: bool
+    management: bool
     caches: tuple[str, ...]
     parents: int
     capacity: float
@@ -90,7 +91,7 @@
         seconds=lab.number("seconds", 10.0, 600.0, 1.0),
         directors=lab.whole("directors", 1, 8) or 1,
         seed=lab.whole("seed", 1),
-        cells=lab.flag("cells", True),
+        cells=lab.flag("cells", True), management=lab.flag("management", False),
         caches=names,
         parents=fleet.whole("parents", 2, 16),
         capacity=fleet.number("capacity", 400.0, 1e6, 1.0),
--- a/mulleinrelay/management/datastore.py
+++ b/mulleinrelay/management/datastore.py
@@ -4,7 +4,7 @@
 all are ready does each commit; where one fails even then, those that have committed are undone in turn."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 HISTORY_MOST = 50
@@ -27,6 +27,8 @@
     def prepare(self, old: dict[str, Any], new: dict[str, Any]) -> Any:
         """Checks, and reckons what the commit needs; changes nothing. Raises RefusedError."""
 
+    def mark(self, ready: Any) -> int:
+        """What tells, after a kill, whether this commit had been done; 0 where nothing of it lasts."""
     def commit(self, ready: Any) -> Callable[[], None]:
         """Takes the change over; gives what undoes it."""
 
@@ -40,6 +42,7 @@
     at: float
     by: str
     why: str
+    marks: dict[str, int] = field(default_factory=dict)  # of the parts, once they have committed
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,9 +101,7 @@
         unconfirmed = open_
         if confirm is not None:
             unconfirmed = Unconfirmed(confirm[0], now + confirm[1], running.tree)
-        new = Version(running.number + 1, tree, now, by, why)
-        self._through(running.tree, tree, Held([*self.held.versions, new][-HISTORY_MOST:], unconfirmed))
-        return new
+        return self._through(running.tree, Version(running.number + 1, tree, now, by, why), unconfirmed)
 
     def confirm(self, name: str) -> None:
         """Raises RefusedError."""
@@ -140,24 +141,27 @@
 
     def _back(self, now: float, open_: Unconfirmed, by: str, why: str) -> Version:
         running = self.running
-        new = Version(running.number + 1, open_.back_to, now, by, why)
-        self._through(running.tree, new.tree, Held([*self.held.versions, new][-HISTORY_MOST:], None))
-        return new
-
-    def _through(self, old: dict[str, Any], new: dict[str, Any], held: Held) -> None:
-        """Takes a change through all parts and the store, or through none."""
-        ready = [(part, part.prepare(old, new)) for part in self.parts]
+        return self._through(running.tree, Version(running.number + 1, open_.back_to, now, by, why), None)
+
+    def _through(self, old: dict[str, Any], new: Version, unconfirmed: Unconfirmed | None) -> Version:
+        """Takes a change through all parts and the store, or through none. It lasts before any part commits,
+        with the mark that each part will bear then: killed in between, the parts are brought up to it at the
+        start."""
+        ready = [(part, part.prepare(old, new.tree)) for part in self.parts]
+        new = replace(new, marks={part.name: part.mark(made) for part, made in ready})
+        held = Held([*self.held.versions, new][-HISTORY_MOST:], unconfirmed)
         undo: list[Callable[[], None]] = []
+        self.keep(held)
         try:
             for part, made in ready:
                 undo.append(part.commit(made))
-            self.keep(held)
         except Exception as broken:
             for back in reversed(undo):
                 back()
+            self.keep(self.held)
             if isinstance(broken, RefusedError):
                 raise
-            raise RefusedError(
-                f"{type(broken).__name__}: {broken}; nothing was changed", "failed"
-            ) from broken
+            why = f"{type(broken).__name__}: {broken}; nothing was changed"
+            raise RefusedError(why, "failed") from broken
         self.held = held
+        return new
--- a/mulleinrelay/management/keep.py
+++ b/mulleinrelay/management/keep.py
@@ -28,7 +28,7 @@
             trees.append(tree)
         return places[id(tree)]
 
-    versions = [[one.number, place(one.tree), one.at, one.by, one.why] for one in held.versions]
+    versions = [[one.number, place(one.tree), one.at, one.by, one.why, one.marks] for one in held.versions]
     open_ = held.unconfirmed
     unconfirmed = [open_.name, open_.until, place(open_.back_to)] if open_ is not None else None
     body = orjson.dumps({"versions": versions, "unconfirmed": unconfirmed, "trees": trees})
@@ -53,7 +53,8 @@
         whole = orjson.loads(body)
         trees = whole["trees"]
         versions = [
-            Version(number, trees[place], at, by, why) for number, place, at, by, why in whole["versions"]
+            Version(number, trees[place], at, by, why, marks)
+            for number, place, at, by, why, marks in whole["versions"]
         ]
         open_ = whole["unconfirmed"]
         unconfirmed = Unconfirmed(open_[0], open_[1], trees[open_[2]]) if open_ else None
--- a/mulleinrelay/management/manager.py
+++ b/mulleinrelay/management/manager.py
@@ -89,7 +89,13 @@
     def _resume(self, held: Held) -> None:
         """Takes over what was kept; the assignment is that of its own file."""
         self.store.held = held
-        tree = self._with_assignment(held.versions[-1].tree)
+        last = held.versions[-1]
+        mark = last.marks.get("assignment", 0)
+        behind = self.cells.warden is not None and self.cells.charter().version < mark
+        if behind and "assignment" in last.tree.get("fleet", {}):  # killed before the file was written
+            self.cells.commit(self.cells.prepare({}, last.tree))
+            self.log.event("management", text=f"version {last.number} brought to its end after a kill")
+        tree = self._with_assignment(last.tree)
         self.drains.commit(self.drains.prepare(tree, tree))
         if tree != held.versions[-1].tree:
             self.store.commit(self.clock(), tree, "", "the assignment file")
--- a/mulleinrelay/management/part.py
+++ b/mulleinrelay/management/part.py
@@ -42,6 +42,10 @@
             raise RefusedError(f"{why}; set forced to drain all the same")
         return wanted
 
+    def mark(self, ready: dict[str, Want]) -> int:
+        """Drains last in the datastore alone."""
+        return 0
+
     def commit(self, ready: dict[str, Want]) -> Callable[[], None]:
         before: list[Intent] = []
 
@@ -93,6 +97,12 @@
         except CharterError as wrong:
             raise RefusedError(str(wrong)) from None
 
+    def mark(self, ready: governor.Prepared | None) -> int:
+        """The version of the assignment file."""
+        if self.warden is None:
+            return 0
+        return ready.charter.version if ready is not None else self.charter().version
+
     def commit(self, ready: governor.Prepared | None) -> Callable[[], None]:
         if ready is None:
             return lambda: None
--- a/mulleinrelay/standins/fleet.py
+++ b/mulleinrelay/standins/fleet.py
@@ -47,6 +47,7 @@
         self.recent: deque[tuple[float, float]] = deque()
         self.in_window, self.peak, self.over_since = 0.0, 0.0, 0.0
         self.counts: Counter[str] = Counter()
+        self.last_named = 0.0  # when a command last named it, as its place or as a source
 
     def warmth(self, now: float) -> float:
         spec = self.spec
@@ -117,6 +118,9 @@
         now, node = now_ms(), self.nodes[name]
         with self.lock:
             node.counts["asked"] += 1
+            node.last_named = now
+            if (source := self.nodes.get(fields.get("miss", ""))) is not None:
+                source.last_named = now
             if fields.get("lane", "") in self.writes:
                 return self._write(now, node, fields)
             return self._read(now, node, fields)
