--- a/benchmarks/management.py
+++ b/benchmarks/management.py
@@ -55,7 +55,7 @@
     ("/fleet/assignment/how", "luck"),
     ("/fleet/assignment/load-bound", "0.1"),
     ("/fleet/assignment/default-tenant", "no"),
-    ("/fleet/assignment/cell[name=north]/weight", 1.5),
+    ("/fleet/assignment/cell[name=north]/weight", "heavy"),
     ("/fleet/assignment/cell[name=north]/neighbour", ["north"]),
     ("/fleet/assignment/cell[name=north]/reserve", "2.0"),
     ("/fleet/assignment/tenant[name=acme]/cell", "west"),
--- a/mulleinrelay/management/manager.py
+++ b/mulleinrelay/management/manager.py
@@ -82,6 +82,7 @@
         self.last: dict[str, Any] = {}
         self.state_due = 0.0
         self.phases: dict[str, str] = {}
+        self.followed: Any = None  # the charter that the running version agrees with
         self.ended = threading.Event()
         kept = keeper.load()
         self._resume(kept if kept is not None else self.store.held)
@@ -148,6 +149,8 @@
         """`kind`: all, config, state. Raises PathError; `not found` where a path without wildcards is
         empty."""
         found: list[tuple[Path, Any]] = []
+        with self.lock:
+            self._follow()
         tree = self.tree(children(wanted), kind == "config")
         if kind == "state":
             tree = state_only(self.shape, tree)
@@ -223,8 +226,12 @@
 
     def _follow(self) -> None:
         """The assignment file may have changed by another hand; what that says is running already."""
+        charter = self.cells.charter() if self.cells.warden is not None else None
+        if charter is self.followed:  # a large table is not gone through for nothing
+            return
         running = self.store.running
         tree = self._with_assignment(running.tree)
+        self.followed = charter
         if tree != running.tree:
             self.store.commit(self.clock(), tree, "", "the assignment file")
 
--- a/mulleinrelay/management/model.py
+++ b/mulleinrelay/management/model.py
@@ -9,6 +9,8 @@
 from yangson.exceptions import YangsonException
 from yangson.schemanode import DataNode, LeafListNode, LeafNode, ListNode
 
+from yangson.datatype import Decimal64Type, Int64Type, Uint64Type
+
 from .datastore import RefusedError
 from .paths import Shape, bare
 
@@ -55,6 +57,6 @@
             children[child.name] = _shape(child, state or child.config is False)
     keys = tuple(key[0] for key in node.keys) if isinstance(node, ListNode) else ()
     is_leaf = isinstance(node, LeafNode | LeafListNode)
-    return Shape(
-        {} if is_leaf else children, keys, isinstance(node, ListNode), isinstance(node, LeafListNode), state
-    )
+    text = is_leaf and isinstance(node.type, Decimal64Type | Int64Type | Uint64Type)
+    is_list, is_leaf_list = isinstance(node, ListNode), isinstance(node, LeafListNode)
+    return Shape({} if is_leaf else children, keys, is_list, is_leaf_list, state, text)
--- a/mulleinrelay/management/part.py
+++ b/mulleinrelay/management/part.py
@@ -23,7 +23,7 @@
 
     name = "drains"
 
-    def __init__(self, facade: Facade, cells: Callable[[], dict[str, list[str]]]) -> None:
+    def __init__(self, facade: Facade, cells: Callable[[list[str]], dict[str, list[str]]]) -> None:
         self.facade, self.cells, self.intent = facade, cells, Intent()
         with facade.lock:
             facade.intent = self.intent
@@ -37,7 +37,13 @@
             ]
             listed = dict(self.intent.listed)
         if wanted != wants(old) and (
-            why := left_without(listed, before, wanted, self._is_cache, self.cells())
+            why := left_without(
+                listed,
+                before,
+                wanted,
+                self._is_cache,
+                self.cells([name for name, entry in listed.items() if self._is_cache(entry)]),
+            )
         ):
             raise RefusedError(f"{why}; set forced to drain all the same")
         return wanted
--- a/mulleinrelay/management/paths.py
+++ b/mulleinrelay/management/paths.py
@@ -65,7 +65,10 @@
     """Drops the module's name before a step, and bounds the length."""
     if len(path) > STEPS_MOST:
         raise PathError(f"a path of {len(path)} steps; {STEPS_MOST} at most")
-    return tuple((name.rpartition(":")[2], keys) for name, keys in path)
+    bared = tuple((name.rpartition(":")[2], keys) for name, keys in path)
+    if not all(name and name == name.strip() for name, _ in bared):
+        raise PathError(f"{worded(path)}: a step has no name, or spaces round it")
+    return bared
 
 
 def worded(path: Path) -> str:
@@ -88,9 +91,11 @@
         is_list: bool = False,
         is_leaf_list: bool = False,
         state: bool = False,
+        text: bool = False,
     ) -> None:
         self.children, self.keys = children or {}, keys
         self.is_list, self.is_leaf_list, self.state = is_list, is_leaf_list, state
+        self.text = text  # its numbers are strings in JSON (decimal64, 64-bit integers)
 
     def at(self, path: Path, write: bool = False) -> "Shape":
         """The shape at the end of a path without wildcards; raises PathError. `write`: no state, keys
@@ -117,7 +122,10 @@
     yield from _read(shape, tree, path, ())
 
 
-def _read(shape: Shape, tree: Any, path: Path, before: Path) -> Iterator[tuple[Path, Any]]:
+def _read(
+    shape: Shape, tree: Any, path: Path, before: Path, loose: bool = False
+) -> Iterator[tuple[Path, Any]]:
+    """`loose`: a wildcard stands before, below which not every node has what is named."""
     if not path:
         yield before, tree
         return
@@ -125,17 +133,19 @@
         return
     (name, keys), rest = path[0], path[1:]
     if name == "...":
-        yield from _read(shape, tree, rest, before)
+        yield from _read(shape, tree, rest, before, True)
         for child in tree:
-            yield from _below(shape, tree, child, (), path, before)
+            yield from _below(shape, tree, child, (), path, before, True)
         return
     if name != "*":
         if name not in shape.children:
+            if loose:
+                return
             raise PathError(f"{worded((*before, path[0]))}: the model has no such node", "not found")
         if unknown := {key for key, _ in keys} - set(shape.children[name].keys):
             raise PathError(f"{worded((*before, path[0]))}: no key {sorted(unknown)[0]}")
     for child in tree if name == "*" else (name,) if name in tree else ():
-        yield from _below(shape, tree, child, keys, rest, before)
+        yield from _below(shape, tree, child, keys, rest, before, loose or name == "*")
 
 
 def _below(
@@ -145,18 +155,19 @@
     keys: tuple[tuple[str, str], ...],
     rest: Path,
     before: Path,
+    loose: bool,
 ) -> Iterator[tuple[Path, Any]]:
     inner = shape.children.get(child)
     if inner is None:
         return
     if not inner.is_list:
         if not keys:
-            yield from _read(inner, tree[child], rest, (*before, (child, ())))
+            yield from _read(inner, tree[child], rest, (*before, (child, ())), loose)
         return
     for entry in tree[child]:
         named = tuple((key, str(entry[key])) for key in inner.keys)
         if all(value == "*" or dict(named).get(key) == value for key, value in keys):
-            yield from _read(inner, entry, rest, (*before, (child, named)))
+            yield from _read(inner, entry, rest, (*before, (child, named)), loose)
 
 
 def entry_of(entries: list[dict[str, Any]], keys: tuple[tuple[str, str], ...]) -> dict[str, Any] | None:
@@ -252,6 +263,8 @@
         return spot
     if isinstance(value, dict) or (isinstance(value, list) and not shape.is_leaf_list):
         raise PathError(f"{worded(path)}: a single value is wanted")
+    if shape.text and isinstance(value, int | float) and not isinstance(value, bool):
+        return repr(value)  # what staff write as a number
     return value
 
 
--- a/mulleinrelay/management/server.py
+++ b/mulleinrelay/management/server.py
@@ -309,7 +309,8 @@
 
     def _stream(self, held: Any, wanted_paths: list[Path], encoding: int, context: Any) -> Iterator[Any]:
         for path in wanted_paths:  # a stream on a node that the model hasn't would wait for ever
-            list(paths.read(self.manager.shape, {}, path))
+            if not any(name in ("*", "...") for name, _ in path):
+                self.manager.shape.at(path)
         watcher = self.manager.watch(wanted_paths, self.own.queue_most)
         context.add_callback(watcher.end)
         samples = [
@@ -446,12 +447,13 @@
 
 def build(own: OwnFile, start: Any, facade: Any, warden: Any, clock: Callable[[], float], log: Log) -> Server:
     """All of management for one director; raises KeepError, OSError."""
+    from ..cells.assignment import caches_of
     from .keep import Keeper
     from .model import Model
     from .part import CellsPart, DrainPart, View
 
-    def cells() -> dict[str, list[str]]:
-        return dict(warden.governor.placement.by_cell) if warden is not None else {}
+    def cells(caches: list[str]) -> dict[str, list[str]]:
+        return caches_of(warden.governor.charter, caches) if warden is not None else {}
 
     drains, assignment = DrainPart(facade, cells), CellsPart(warden, clock)
     manager = Manager(
--- /dev/null
+++ b/tests/management/manage.py
@@ -0,0 +1,94 @@
+"""Helpers of the tests of management: a whole director with gNMI before stand-ins."""
+
+import json
+
+from helpers import SPOTS, Caller, Sink, StandBus, StandNode, configuration
+
+from mulleinrelay.cells.charter import Cell, Charter, Tenant
+from mulleinrelay.cells.own import OwnFile as CellsFile
+from mulleinrelay.cells.reading import write
+from mulleinrelay.configuration import decode
+from mulleinrelay.management.client import Access, Target
+from mulleinrelay.management.own import read_own
+from mulleinrelay.net.service import Service
+
+HIT = (b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes")
+CLEAR = "[management]\nenabled = yes\ninsecure_loopback = yes\nlisten = 127.0.0.1:0\nstate_dir = state\n"
+
+
+def charter():
+    return Charter(
+        1,
+        1000.0,
+        {
+            "north": Cell("north", caches=("s-01",), neighbours=("south",)),
+            "south": Cell("south", caches=("s-02", "s-03")),
+        },
+        {"acme": Tenant("acme", "north"), "beta": Tenant("beta", "south")},
+        default_tenant="beta",
+    )
+
+
+class Managed:
+    """One director on loopback with management, and cells where wanted; ended with the block."""
+
+    def __init__(self, folder, own=CLEAR, cells=False, nodes=None, plan=HIT):
+        self.folder, self.nodes = folder, nodes or [StandNode(plan) for _ in SPOTS]
+        self.bus, self.sink, self.callers, self.targets = StandBus(), Sink(), [], []
+        self.path = folder / "assignment.ini"
+        held = None
+        if cells:
+            if not self.path.exists():
+                self.path.write_text(write(charter()))
+            held = CellsFile(True, str(self.path), "tenant", 50.0, "", 0, 0.0, 5_000.0)
+        self.start = decode(
+            json.dumps(configuration([node.address for node in self.nodes], self.bus.address))
+        )
+        self.service = Service(self.start, self.sink, held, read_own(own, str(folder)))
+
+    def __enter__(self):
+        self.service.start()
+        self.address = f"127.0.0.1:{self.service.server.port}"
+        self.manager = self.service.server.manager
+        return self
+
+    def target(self, **access):
+        self.targets.append(Target(self.address, Access(**access)))
+        return self.targets[-1]
+
+    def caller(self):
+        self.callers.append(Caller(self.service.front.listener.getsockname()))
+        return self.callers[-1]
+
+    def ready(self):
+        return [name for name, _, _ in self.service.facade.ready_caches()]
+
+    def heard(self):
+        return {
+            SPOTS[place][0]: [entry for entry in node.heard if entry[0] == "PULL"]
+            for place, node in enumerate(self.nodes)
+        }
+
+    def tell(self, number, name, state="SERVING", started=0, port=None, full=False):
+        place = next(place for place, spot in enumerate(SPOTS) if spot[0] == name)
+        row = {
+            "id": name,
+            "addr": f"127.0.0.1:{port}" if port else self.nodes[place].address,
+            "zone": SPOTS[place][1],
+            "kind": SPOTS[place][2],
+            "cell": 0,
+            "state": state,
+            "weight": 4,
+            "started_ms": started,
+        }
+        self.service.bus.apply(number, {"topology": {"version": number, "full": full, "servers": [row]}})
+
+    def __exit__(self, *_):
+        for target in self.targets:
+            target.close()
+        self.service.stop()
+        for caller in self.callers:
+            caller.close()
+        self.service.wait()
+        for each in (*self.nodes, self.bus):
+            each.close()
--- /dev/null
+++ b/tests/management/test_paths.py
@@ -0,0 +1,341 @@
+"""Paths and trees, the intent over the list, and rights."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mulleinrelay.cells.charter import CharterError
+from mulleinrelay.interface import Listing, State
+from mulleinrelay.management import paths
+from mulleinrelay.management.intent import DISAGREES, Intent, Phase, Want, left_without
+from mulleinrelay.management.manager import children, state_only
+from mulleinrelay.management.own import read_own
+from mulleinrelay.management.paths import PathError, Shape, parse, worded
+from mulleinrelay.management.rights import Rights, Role, wanted
+from mulleinrelay.management.server import covers
+
+LEAF, LEAVES = Shape(), Shape(is_leaf_list=True)
+SHAPE = Shape(
+    {
+        "fleet": Shape(
+            {
+                "drains": Shape(
+                    {
+                        "drain": Shape(
+                            {"box": LEAF, "why": LEAF, "state": Shape({"phase": LEAF}, state=True)},
+                            ("box",),
+                            True,
+                        )
+                    }
+                ),
+                "cell": Shape(
+                    {"name": LEAF, "cache": LEAVES, "limits": Shape({"rate": LEAF})}, ("name",), True
+                ),
+                "boxes": Shape({"box": Shape({"name": LEAF}, ("name",), True, state=True)}, state=True),
+            }
+        )
+    }
+)
+
+
+def tree():
+    return {
+        "fleet": {
+            "drains": {"drain": [{"box": "s-1", "why": "x"}, {"box": "s-2"}]},
+            "cell": [{"name": "n", "cache": ["a"], "limits": {"rate": "1"}}],
+        }
+    }
+
+
+@pytest.mark.parametrize(
+    "text, path",
+    [
+        ("/", ()),
+        ("/fleet/drains", (("fleet", ()), ("drains", ()))),
+        ("fleet/drain[box=s-1]/", (("fleet", ()), ("drain", (("box", "s-1"),)))),
+        ("/mulleinrelay-fleet:fleet", (("fleet", ()),)),
+        (r"/a[k=x\]y\\z]", (("a", (("k", r"x]y\z"),)),)),
+        ("/a[k=b/c]", (("a", (("k", "b/c"),)),)),
+    ],
+)
+def test_a_path_is_read_and_worded(text, path):
+    assert parse(text) == path and parse(worded(path)) == path
+
+
+@pytest.mark.parametrize(
+    "text", ["/a[", "/a[k", "/a[k=v", "/a[=v]", "/[k=v]", "/a[k=v]b", "/" + "a/" * 40, "x" * 5000]
+)
+def test_a_path_that_cannot_be_read(text):
+    with pytest.raises(PathError):
+        parse(text)
+
+
+@given(st.text("/[]=\\ab*.: \n\0é", max_size=60))
+def test_any_text_is_a_path_or_a_fault(text):
+    try:
+        assert parse(worded(parse(text))) == parse(text)
+    except PathError as wrong:
+        assert str(wrong)
+
+
+@pytest.mark.parametrize(
+    "text, found",
+    [
+        ("/fleet/drains/drain[box=s-1]/why", ["x"]),
+        ("/fleet/drains/drain/why", ["x"]),
+        ("/fleet/*/drain[box=*]/box", ["s-1", "s-2"]),
+        ("/.../rate", ["1"]),
+        ("/fleet/drains/drain[box=s-9]", []),
+        ("/fleet/cell[name=n]/cache", [["a"]]),
+    ],
+)
+def test_reading_with_wildcards(text, found):
+    assert [value for _, value in paths.read(SHAPE, tree(), parse(text))] == found
+
+
+@pytest.mark.parametrize("text", ["/fleet/none", "/fleet/drains/drain[name=s-1]"])
+def test_reading_what_the_model_has_not(text):
+    with pytest.raises(PathError):
+        list(paths.read(SHAPE, tree(), parse(text)))
+
+
+@pytest.mark.parametrize(
+    "what, text, value, after",
+    [
+        (
+            "update",
+            "/fleet/drains/drain[box=s-3]",
+            {"why": "y"},
+            lambda held: held["drains"]["drain"][2] == {"box": "s-3", "why": "y"},
+        ),
+        (
+            "update",
+            "/fleet/drains/drain[box=s-1]/why",
+            "z",
+            lambda held: held["drains"]["drain"][0]["why"] == "z",
+        ),
+        (
+            "update",
+            "/fleet/cell",
+            [{"name": "n", "limits": {"rate": "9"}}, {"name": "m"}],
+            lambda held: (
+                [one["name"] for one in held["cell"]] == ["n", "m"] and held["cell"][0]["cache"] == ["a"]
+            ),
+        ),
+        (
+            "replace",
+            "/fleet/cell[name=n]",
+            {"cache": ["b"]},
+            lambda held: held["cell"] == [{"name": "n", "cache": ["b"]}],
+        ),
+        ("replace", "/fleet", {"cell": []}, lambda held: "drains" not in held),
+        (
+            "delete",
+            "/fleet/drains/drain[box=s-1]",
+            None,
+            lambda held: held["drains"]["drain"] == [{"box": "s-2"}],
+        ),
+        ("delete", "/fleet/drains/drain[box=s-9]", None, lambda held: len(held["drains"]["drain"]) == 2),
+        ("delete", "/fleet/cell", None, lambda held: "cell" not in held),
+        (
+            "update",
+            "/mulleinrelay-fleet:fleet",
+            {"mulleinrelay-fleet:cell": [{"name": "q"}]},
+            lambda held: len(held["cell"]) == 2,
+        ),
+    ],
+)
+def test_writing(what, text, value, after):
+    held = tree()
+    if what == "delete":
+        paths.delete(SHAPE, held, parse(text))
+    else:
+        getattr(paths, what)(SHAPE, held, parse(text), value)
+    assert after(held["fleet"])
+
+
+@pytest.mark.parametrize(
+    "text, value",
+    [
+        ("/fleet/boxes/box[name=s-1]", {}),
+        ("/fleet/drains/drain[box=s-1]/state/phase", "x"),
+        ("/fleet/none", 1),
+        ("/fleet/drains/drain/why", "x"),
+        ("/fleet/drains/drain[box=s-1]", {"box": "s-2"}),
+        ("/fleet/cell", [{"cache": []}]),
+        ("/fleet/cell", {"name": "n"}),
+        ("/fleet", 3),
+        ("/fleet/cell[name=n]/limits", [1]),
+        ("/fleet", {"drains": {"x": 1}}),
+        ("/fleet/drains/drain[box=s-1]", {"state": {}}),
+        ("/fleet/drains/drain[box=s-1]/why", {"a": 1}),
+    ],
+)
+def test_writing_what_may_not_be(text, value):
+    with pytest.raises(PathError):
+        paths.update(SHAPE, tree(), parse(text), value)
+
+
+def test_differences_name_leaves():
+    new = tree()
+    new["fleet"]["drains"]["drain"][0]["why"] = "y"
+    del new["fleet"]["drains"]["drain"][1], new["fleet"]["cell"][0]["limits"]
+    changed, gone = paths.differences(SHAPE, tree(), new)
+    assert [(worded(path), value) for path, value in changed] == [("/fleet/drains/drain[box=s-1]/why", "y")]
+    assert sorted(map(worded, gone)) == [
+        "/fleet/cell[name=n]/limits/rate",
+        "/fleet/drains/drain[box=s-2]/box",
+    ]
+
+
+@pytest.mark.parametrize(
+    "one, other, holds",
+    [
+        ("/", "/fleet/cell[name=n]/name", True),
+        ("/fleet/cell", "/fleet/cell[name=n]/name", True),
+        ("/fleet/cell[name=m]", "/fleet/cell[name=n]/name", False),
+        ("/.../name", "/fleet/cell[name=n]/name", True),
+        ("/fleet/*/name", "/fleet/cell[name=n]/name", True),
+        ("/fleet/cell/cache", "/fleet/cell[name=n]/name", False),
+    ],
+)
+def test_which_paths_cover_which(one, other, holds):
+    assert covers(parse(one), parse(other)) == holds
+
+
+def test_state_is_told_with_its_keys_alone():
+    held = tree()
+    held["fleet"]["drains"]["drain"][0]["state"] = {"phase": "binding"}
+    assert state_only(SHAPE, held) == {
+        "fleet": {"drains": {"drain": [{"box": "s-1", "state": {"phase": "binding"}}]}}
+    }
+    assert children([parse("/fleet/cell/x"), parse("/fleet/boxes")]) == {"cell", "boxes"}
+    assert children([parse("/fleet")]) is None and children([parse("/fleet/*")]) is None
+
+
+# Drains over the list
+
+
+def entry(name="s-1", state=State.READY, started=0.0, port=1, zone=1, kind=0):
+    return Listing(name, ("127.0.0.1", port), state, 4.0, kind, zone, 0, started)
+
+
+BOX = entry()
+
+
+def drained(every_life=False, listed=(BOX,)):
+    intent = Intent()
+    intent.told(0.0, listed, True)
+    intent.want(1.0, {"s-1": Want("s-1", every_life)})
+    return intent
+
+
+@pytest.mark.parametrize(
+    "every_life, then, phase, state",
+    [
+        (False, [entry()], Phase.BINDING, State.DRAINING),
+        (False, [entry(started=9.0)], Phase.OVER, State.READY),
+        (True, [entry(started=9.0)], Phase.BINDING, State.DRAINING),
+        (False, [entry(port=2)], Phase.OVER, State.READY),
+        (False, [entry(state=State.GONE), entry()], Phase.BINDING, State.DRAINING),
+        (False, [entry(state=State.GONE), entry(started=5.0)], Phase.OVER, State.READY),
+        (True, [entry(state=State.GONE), entry(started=5.0)], Phase.BINDING, State.DRAINING),
+        (False, [entry(state=State.DRAINING), entry()], Phase.BINDING, State.DRAINING),
+        (False, [entry(started=9.0), entry()], Phase.OVER, State.READY),
+    ],
+)
+def test_a_drain_binds_the_life_it_met(every_life, then, phase, state):
+    intent = drained(every_life)
+    for number, one in enumerate(then):
+        intent.told(10.0 + number, [one], False)
+    assert intent.drains["s-1"].phase == phase and intent.state(then[-1]) == state
+
+
+def test_a_drain_of_a_box_that_is_not_listed_waits_for_it():
+    intent = drained(listed=[entry("s-2")])
+    assert intent.drains["s-1"].phase == Phase.WAITING
+    intent.told(5.0, [entry()], False)
+    assert intent.state(entry()) == State.DRAINING
+
+
+def test_a_newcomer_at_the_address_of_a_drained_box_is_not_meant():
+    intent = drained(True)
+    intent.told(5.0, [entry(state=State.GONE), entry("s-9")], False)
+    assert intent.state(entry("s-9")) == State.READY
+
+
+def test_intent_and_list_that_disagree_are_told_of_once():
+    intent = drained()
+    assert not intent.disagreeing(DISAGREES - 100.0)
+    assert [drain.want.box for drain in intent.disagreeing(DISAGREES + 100.0)] == ["s-1"]
+    assert not intent.disagreeing(9e9)
+    agreed = drained()
+    agreed.told(5.0, [entry(state=State.DRAINING)], False)
+    assert not agreed.disagreeing(9e9)
+
+
+@pytest.mark.parametrize(
+    "wants, before, cells, why",
+    [
+        (["s-1"], [], {}, ""),
+        (["s-1", "s-2"], [], {}, "location 1"),
+        (["s-2"], ["s-1"], {}, "location 1"),
+        (["s-1"], [], {"north": ["s-1"]}, "cell north"),
+        (["s-9"], [], {"north": ["s-9"]}, ""),
+        (["p-1"], [], {}, ""),
+    ],
+)
+def test_a_drain_that_leaves_nothing_is_refused_unless_forced(wants, before, cells, why):
+    listed = {one.name: one for one in (entry(), entry("s-2"), entry("p-1", zone=0, kind=1))}
+    for forced in (False, True):
+        told = left_without(
+            listed,
+            before,
+            {name: Want(name, forced=forced) for name in wants},
+            lambda one: one.kind == 0,
+            cells,
+        )
+        assert told.startswith(why) if why and not forced else told == ""
+
+
+@pytest.mark.parametrize(
+    "names, role",
+    [([], Role.READ), (["boss"], Role.CONFIGURE), (["x", "call"], Role.DRAIN), (["x"], Role.NONE)],
+)
+def test_roles_by_name(names, role):
+    assert Rights({"boss": Role.CONFIGURE, "call": Role.DRAIN}, Role.READ).role(names) == role
+
+
+@pytest.mark.parametrize(
+    "texts, role",
+    [
+        (["/fleet/drains/drain[box=a]"], Role.DRAIN),
+        (["/fleet/drains", "/fleet/assignment"], Role.CONFIGURE),
+        (["/fleet"], Role.CONFIGURE),
+        (["/"], Role.CONFIGURE),
+    ],
+)
+def test_what_a_change_asks_for(texts, role):
+    assert wanted([parse(text) for text in texts]) == role
+
+
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("[management]\nenabled = yes", "[management] insecure_loopback"),
+        (
+            "[management]\nenabled = yes\nlisten = 10.0.0.1:1\ninsecure_loopback = yes",
+            "[management] listen: without",
+        ),
+        ("[management]\nlisten = here", "[management] listen: host:port"),
+        ("[management]\nkey = x", "[management] certificate"),
+        ("[roles]\nboss = king", "[roles] boss: one of read, drain, configure"),
+        ("[limits]\nqueue = -1", "[limits] queue"),
+        ("[limits]\nspeed = 1", "[limits] speed"),
+        ("[x]\n", "[x]: an unknown section"),
+    ],
+)
+def test_a_fault_of_our_own_file_names_its_key(text, told):
+    with pytest.raises(CharterError) as fault:
+        read_own(text, "/somewhere")
+    assert str(fault.value).startswith(told)
