--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -104,7 +104,7 @@
 objects = 60
 [deed m1]
 what = {what}
-at = 6
+at = 8
 tenants = acme
 to = south
 {spans}
@@ -271,8 +271,8 @@
         )
         shift = round(moves.shift_time(demand))
         spans = f"warm_ms = 2000\nshift_ms = {shift}\ndrain_ms = 2000"
-        seconds = 6 + 1 + 2 + shift / 1000.0 + 3
-        moved, cut = move("move", seconds, spans, 6.0), move("cut", seconds, "", 6.0)
+        seconds = 8 + 1 + 2 + shift / 1000.0 + 3
+        moved, cut = move("move", seconds, spans, 8.0), move("cut", seconds, "", 8.0)
         runs += [moved, cut]
         found |= {
             "move_cold_peak": round(moved["cold_peak"], 3),
