Options of moves and our own files read in one place; move decisions in a pure module

Cause: plan and move listed the same options, both own files were read by the same lines, and when a move can be borne or a file is taken was decided beside I/O. Change: move_options, own.loaded, changes.reckoned and changes.refusal.

--- a/mulleinrelay/cells/changes.py
+++ b/mulleinrelay/cells/changes.py
@@ -59,6 +59,24 @@
     return replace(charter, moves=charter.moves | {name: move}, tenants=charter.tenants | people)
 
 
+def reckoned(demand: moves.Demand, warm: float, drain: float) -> Spans:
+    """The spans of a move that the receiving caches can bear; raises RefusalError where they can't."""
+    found = moves.shift_time(demand)
+    if found is None:
+        raise RefusalError(
+            f"the receiving caches can't bear these tenants even when warm: {demand.load + demand.rate:.0f} "
+            f"of {moves.HEAD_ROOM * demand.capacity:.0f} hits a second, and the misses beside")
+    return Spans(warm, float(round(found)), drain)
+
+
+def refusal(old: Charter, new: Charter) -> str:
+    """Why a file that can be read is not taken all the same; empty: it is."""
+    if new.version < old.version or (new.version == old.version and new != old):
+        return (f"assignment kept at version {old.version}: the file holds version {new.version}, "
+                "which is no later one")
+    return ""
+
+
 def moving(charter: Charter, tenant: str) -> Move | None:
     return next((move for move in charter.moves.values() if tenant in move.tenants), None)
 
--- a/mulleinrelay/cells/commands.py
+++ b/mulleinrelay/cells/commands.py
@@ -177,8 +177,14 @@
     return str(value)
 
 
-def demand_options(command: Any) -> Any:
-    """What the receiving caches are to bear, at each location."""
+def move_options(command: Any) -> Any:
+    """What the receiving caches are to bear, at each location, and how long the stages are."""
+    for name, default, text in (
+            ("--drain-ms", 30_000.0, "The old caches still fill so long."),
+            ("--shift-ms", None, "Reckoned from the demand where left out."),
+            ("--warm-ms", 10_000.0, "The first few objects go over so long.")):
+        command = click.option(name, type=float, default=default, show_default=default is not None,
+                               help=text)(command)
     for name, default, text in reversed(
         (
             ("--rate", None, "Lookups a second of the tenants, at the peak."),
@@ -218,24 +224,14 @@
         raise click.UsageError(
             "either --shift-ms, or --rate, --capacity and --objects, from which it is reckoned"
         )
-    found = moves.shift_time(demand)
-    if found is None:
-        raise changes.RefusalError(
-            "the receiving caches can't bear these tenants even when warm: "
-            f"{demand.load + demand.rate:.0f} of {moves.HEAD_ROOM * demand.capacity:.0f} hits a "
-            "second, and the misses beside"
-        )
-    return changes.Spans(warm, float(round(found)), drain)
+    return changes.reckoned(demand, warm, drain)
 
 
 @cells.command()
 @click.argument("tenants", nargs=-1, required=True)
 @click.option("--to", "target", required=True, metavar="CELL")
 @FILE
-@demand_options
-@click.option("--warm-ms", type=float, default=10_000.0, show_default=True)
-@click.option("--shift-ms", type=float, help="Reckoned from the demand where left out.")
-@click.option("--drain-ms", type=float, default=30_000.0, show_default=True)
+@move_options
 @JSON
 def plan(
     tenants: tuple[str, ...],
@@ -290,10 +286,7 @@
 @click.option("--to", "target", required=True, metavar="CELL")
 @click.option("--name", metavar="NAME", help="Of the move; made up where left out.")
 @FILE
-@demand_options
-@click.option("--warm-ms", type=float, default=10_000.0, show_default=True)
-@click.option("--shift-ms", type=float, help="Reckoned from the demand where left out.")
-@click.option("--drain-ms", type=float, default=30_000.0, show_default=True)
+@move_options
 @JSON
 def move(
     tenants: tuple[str, ...],
--- a/mulleinrelay/cells/own.py
+++ b/mulleinrelay/cells/own.py
@@ -2,7 +2,9 @@
 `load`."""
 
 import os
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from .charter import CharterError
 from .reading import NAME, Keys, sections
@@ -44,12 +46,18 @@
     return own
 
 
-def load_own(path: str) -> OwnFile:
-    """Raises CharterError, also where the file can't be read."""
+def loaded(path: str, read: Callable[[str, str], Any]) -> Any:
+    """A file of ours, by what reads its text and takes its folder. Raises CharterError, also where it can't
+    be read."""
     try:
         with open(path, encoding="utf-8") as file:
-            return read_own(file.read(), os.path.dirname(os.path.abspath(path)))
+            return read(file.read(), os.path.dirname(os.path.abspath(path)))
     except OSError as wrong:
         raise CharterError(f"{path}: {wrong.strerror}") from None
     except UnicodeDecodeError:
         raise CharterError(f"{path}: not UTF-8") from None
+
+
+def load_own(path: str) -> OwnFile:
+    """Raises CharterError."""
+    return loaded(path, read_own)
--- a/mulleinrelay/cells/warden.py
+++ b/mulleinrelay/cells/warden.py
@@ -11,7 +11,8 @@
 from ..interface import Asked, Lookup, UseCase
 from ..log import Log
 from . import store
-from .charter import Charter, CharterError
+from .changes import refusal
+from .charter import CharterError
 from .governor import Asking, Board, Denied, Governor, Grant, Prepared, prepare
 from .own import OwnFile
 from .records import Records
@@ -145,11 +146,3 @@
             self.log.event("cells", text=word)
         if self.records is not None:
             self.told = [*self.told, *words][-1000:]
-
-
-def refusal(old: Charter, new: Charter) -> str:
-    """Why a file that can be read is not taken all the same; empty: it is."""
-    if new.version < old.version or (new.version == old.version and new != old):
-        return (f"assignment kept at version {old.version}: the file holds version {new.version}, "
-                "which is no later one")
-    return ""
--- a/mulleinrelay/management/own.py
+++ b/mulleinrelay/management/own.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..cells.charter import CharterError
+from ..cells.own import loaded
 from ..cells.reading import Keys, sections
 from .rights import ROLES, Rights, Role
 
@@ -65,11 +66,5 @@
 
 
 def load_own(path: str) -> OwnFile:
-    """Raises CharterError, also where the file can't be read."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            return read_own(file.read(), os.path.dirname(os.path.abspath(path)))
-    except OSError as wrong:
-        raise CharterError(f"{path}: {wrong.strerror}") from None
-    except UnicodeDecodeError:
-        raise CharterError(f"{path}: not UTF-8") from None
+    """Raises CharterError."""
+    return loaded(path, read_own)
