Signals are obeyed whichever thread they break; a stream that moved is found without one

Ruled out: the configuration and the drain itself, which work on sockets. Change: the wake-up descriptor on a pipe, as it needs no polling and doesn't care which thread is interrupted; the test sends HUP and TERM to another thread of the program and fails without it. Where the stream's address refuses for 1.5 s, the configuration is looked at each 2 s and followed where it names another; calls of directors whose streams end together are spread over 0.1 s (spread/pacing.py, pure). Other waits without a time are woken by threads, not by signals: the log's queue, stopping.wait() after stop().

--- a/mulleinrelay/net/bus.py
+++ b/mulleinrelay/net/bus.py
@@ -2,6 +2,9 @@
 
 import socket
 import threading
+import time
+from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import orjson
@@ -9,10 +12,10 @@
 from ..configuration import Start
 from ..facade import Facade
 from ..log import Log
+from ..spread.pacing import Reconnects
 from . import sse
 
 SILENCE = 2.5  # s: a comment comes each second
-FIRST_WAIT, WAIT_MOST = 0.05, 1.0  # s before a further connection after one that brought nothing
 PIECE = 65_536
 
 
@@ -26,6 +29,8 @@
         self.address = start.bus
         self.last, self.gap_at = 0, 0
         self.connection: socket.socket | None = None
+        self.pace = Reconnects(Random(start.seed))
+        self.look_again: Callable[[], tuple[str, int] | None] = lambda: None  # where the stream is by now
         self.stopped, self.moved = threading.Event(), threading.Event()
         self.thread = threading.Thread(target=self._run, name="bus", daemon=True)
 
@@ -79,19 +84,24 @@
             self.log.event("bad event", number=number, why=f"{type(wrong).__name__}: {wrong}")
 
     def _run(self) -> None:
-        wait = 0.0
         while True:
             self.moved.clear()
             if self.stopped.is_set():
                 return
-            address, before, why = self.address, self.last, "closed"
+            address, before, why, refused = self.address, self.last, "closed", False
             try:
                 self._follow(*address)
             except Exception as broken:  # whatever it was, the stream is read on
                 why = f"{type(broken).__name__}: {broken}"
-            wait = 0.0 if self.last > before else min(WAIT_MOST, max(FIRST_WAIT, 2.0 * wait))
-            if self.moved.wait(wait):
-                wait, why = 0.0, "moved"
+                refused = isinstance(broken, ConnectionRefusedError)
+            now = time.monotonic()
+            wait = self.pace.ended(now, self.last > before, refused)
+            if self.pace.astray(now) and (found := self.look_again()) not in (None, self.address):
+                self.address, wait, why = found, 0.0, "moved, by the configuration"
+                self.pace.moved()
+            elif self.moved.wait(wait):
+                self.pace.moved()
+                why = "moved"
             if not self.stopped.is_set():
                 self.log.event("bus reconnects", last=self.last, why=why)
 
--- a/mulleinrelay/serving.py
+++ b/mulleinrelay/serving.py
@@ -2,7 +2,6 @@
 
 import gc
 import os
-import queue
 import signal
 import sys
 import threading
@@ -19,9 +18,7 @@
 
 def serve(config: str | None, cells: str | None, management: str | None = None) -> int:
     """Gives the exit code."""
-    told: queue.SimpleQueue[int] = queue.SimpleQueue()  # signals, which the main thread obeys in turn
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # HUP, unhandled, would end the program
-        signal.signal(number, lambda number, _: told.put(number))
+    told = signals()
     try:
         start = from_environment(os.environ, config)
         threading.stack_size(STACK)
@@ -39,9 +36,10 @@
     except RuntimeError as wrong:  # what management kept can't be used, or its port is taken
         print(f"mulleinrelay: {wrong}", file=sys.stderr)
         return BAD_CONFIGURATION
+    service.bus.look_again = lambda: bus_named(config)
     gc.collect()
     gc.freeze()  # what stands at the start stays: the collector need not look at it again
-    while told.get() == signal.SIGHUP:
+    while os.read(told, 1)[0] == signal.SIGHUP:
         renew(service, log, config)
     service.stop()
     service.wait()
@@ -49,6 +47,18 @@
     return DONE
 
 
+def signals() -> int:
+    """A descriptor that brings the numbers of signals, a byte each, for the main thread to obey in turn.
+    Guards against waits that a signal doesn't break: it may be another thread that the system interrupts, and
+    a handler in Python runs only once the main thread goes on."""
+    told, telling = os.pipe()
+    os.set_blocking(telling, False)
+    signal.set_wakeup_fd(telling, warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # HUP, unhandled, would end the program
+        signal.signal(number, lambda *_: None)  # one in Python, so that the descriptor is written
+    return told
+
+
 def make(start: Start, log: Log, cells: str | None, management: str | None = None) -> Service:
     """Raises ConfigurationError, also for what is wrong with our own files."""
     if not cells and not management:
@@ -73,6 +83,14 @@
                                  "mulleinrelay[management]") from None
 
 
+def bus_named(path: str | None) -> tuple[str, int] | None:
+    """The event stream's address as the configuration has it now; None where it can't be read."""
+    try:
+        return from_environment(os.environ, path).bus
+    except ConfigurationError:
+        return None
+
+
 def renew(service: Service, log: Log, path: str | None) -> None:
     """Reads the configuration again; where it can't be used, a few times, as it may not be whole yet."""
     for wait in READ_AGAIN:
--- /dev/null
+++ b/tests/spread/test_pacing.py
@@ -0,0 +1,40 @@
+from random import Random
+
+import pytest
+
+from mulleinrelay.spread import pacing
+
+
+@pytest.mark.parametrize("refusals, looks", [
+    ([], []),
+    ([0.0, 1.0, 1.4], []),
+    ([0.0, 1.0, 1.6, 1.9, 3.0, 3.7], [1.6, 3.7]),
+    ([10.0, 11.6, 12.0], [11.6]),
+])
+def test_an_address_that_refuses_is_doubted(refusals, looks):
+    pace, found = pacing.Reconnects(Random(1)), []
+    for now in refusals:
+        pace.ended(now, False, True)
+        if pace.astray(now):
+            found.append(now)
+    assert found == looks
+
+
+def test_a_stream_that_was_up_is_not_doubted():
+    pace = pacing.Reconnects(Random(1))
+    pace.ended(0.0, False, True)
+    pace.ended(1.0, True, False)
+    pace.ended(1.1, False, True)
+    assert not pace.astray(2.0) and pace.astray(2.7)
+
+
+def test_directors_that_lose_their_stream_together_come_again_apart():
+    waits = [pacing.Reconnects(Random(seed)).ended(0.0, True, False) for seed in range(200)]
+    assert max(sum(low <= 1000.0 * wait < low + 10 for wait in waits) for low in range(0, 100, 10)) < 40
+
+
+def test_waits_grow_to_their_bound_and_begin_anew():
+    pace = pacing.Reconnects(Random(3))
+    waits = [pace.ended(now, False, True) for now in range(10)]
+    assert waits[0] < 0.07 and 0.7 < waits[-1] <= 1.25 * pacing.WAIT_MOST
+    assert pace.ended(11.0, True, False) <= pacing.SPREAD and pace.ended(12.0, False, False) < 0.07
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,3 +1,5 @@
+import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -583,6 +585,51 @@
         program.stderr.close()
 
 
+@contextlib.contextmanager
+def serving_program(file):
+    """The program with this configuration, once it is ready."""
+    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    program = subprocess.Popen([sys.executable, "-m", "mulleinrelay", "serve", "--config", str(file)],
+                               cwd=root, stderr=subprocess.PIPE)
+    try:
+        while json.loads(program.stderr.readline()).get("phase") != "ready":
+            pass
+        yield program
+    finally:
+        program.kill()
+        program.wait(5.0)
+        program.stderr.close()
+
+
+@pytest.mark.parametrize("place", [0, 1, -1])  # of the thread that the system interrupts
+def test_a_signal_is_obeyed_whichever_thread_it_breaks(place, tmp_path):
+    bus = StandBus()
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration(bus=bus.address)))
+    with serving_program(file) as program:
+        threads = sorted(int(name) for name in os.listdir(f"/proc/{program.pid}/task"))
+        assert len(threads) > 3
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            assert ctypes.CDLL(None).tgkill(program.pid, threads[place], number) == 0
+            time.sleep(0.1)
+        assert program.wait(10.0) == 0
+        told = program.stderr.read()
+        assert b"configuration read" in told and b"stopped" in told
+    bus.close()
+
+
+def test_a_stream_that_has_moved_is_found_though_no_signal_came(tmp_path):
+    old, new = StandBus(), StandBus()
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration(bus=old.address)))
+    with serving_program(file):
+        assert wait_for(lambda: old.asked)
+        file.write_text(json.dumps(configuration(bus=new.address)))
+        old.close()
+        assert wait_for(lambda: new.asked, 8.0)
+    new.close()
+
+
 @pytest.mark.parametrize("tries, outcome", [(1, "renewed"), (2, "renewed"), (9, "configuration kept")])
 def test_a_configuration_that_is_not_whole_yet_is_read_again(tries, outcome, tmp_path, monkeypatch):
     file, sink, slept = tmp_path / "config.json", Sink(), []
