--- a/mulleinrelay/lab/commands.py
+++ b/mulleinrelay/lab/commands.py
@@ -19,19 +19,34 @@
     sys.stderr.flush()
 
 
+def watch(since: float, asked: int, satisfied: int) -> None:
+    sys.stderr.write(f"\r{since:6.1f} s  asked {asked}  satisfied {satisfied}   ")
+    sys.stderr.flush()
+
+
 @click.command()
 @click.argument("path", metavar="SCENARIO.ini")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 @click.option("--quiet", is_flag=True, help="No live figures.")
 @click.option("--keep", metavar="FOLDER", help="Where configurations, logs and records are left.")
-def lab(path: str, as_json: bool, quiet: bool, keep: str | None) -> None:
+@click.option("--directors", type=int, help="So many directors under the same load (fleet scenarios).")
+@click.option("--plot", metavar="FILE.png", help="Load by cache over time as a picture (fleet scenarios).")
+@click.option("--model", is_flag=True, help="Play it in simulated time (fleet scenarios).")
+def lab(path: str, as_json: bool, quiet: bool, keep: str | None, directors: int | None, plot: str | None,
+        model: bool) -> None:
     """Play SCENARIO.ini: stand-ins, directors and load on loopback; ends by itself.
 
+    A file with a section [fleet lab] is a fleet scenario: hundreds of directors, faults between processes.
     All servers and clients are stand-ins of ours: figures tell of directors before these alone. Exit codes: 0
     played, 1 it could not be, 2 the scenario is wrong."""
     try:
         with open(path, encoding="utf-8") as file:
-            scenario = read_scenario(file.read())
+            text = file.read()
+        if "[fleet lab]" in text:
+            return play_fleet(text, as_json, quiet, keep, directors, plot, model)
+        if directors is not None or plot is not None or model:
+            raise click.UsageError("--directors, --plot and --model are for fleet scenarios ([fleet lab])")
+        scenario = read_scenario(text)
     except (CharterError, UnicodeDecodeError) as wrong:
         click.echo(f"mulleinrelay: {path}: {wrong}", err=True)
         sys.exit(2)
@@ -72,3 +87,49 @@
     )
     for deed in found["deeds"]:
         click.echo(f"{deed['at']:8.2f} s {deed['name']}: {deed['what']} {deed['wrong']}")
+
+
+def play_fleet(text: str, as_json: bool, quiet: bool, keep: str | None, directors: int | None,
+               plot: str | None, model: bool) -> None:
+    """Raises CharterError, and OSError where the file can't be written."""
+    from .fleet.plan import read_fleet
+
+    scenario = read_fleet(text)
+    if directors is not None and not model:
+        scenario = scenario.sized(directors)
+    shown = None if quiet or as_json else watch
+    if model:
+        from ..model.world import play as play_model
+
+        found = play_model(scenario, directors, shown)
+        return tell(found, as_json)
+    from .fleet.audit import Audit, read
+    from .fleet.play import FleetLab
+
+    playing = FleetLab(scenario, text, keep)
+    try:
+        audit = Audit(scenario, read(playing.run(shown)))
+        if plot is not None:
+            from .fleet.picture import draw
+
+            draw(audit, plot)
+    except RuntimeError as wrong:
+        click.echo(f"mulleinrelay: {wrong}", err=True)
+        sys.exit(1)
+    finally:
+        playing.clear()
+    if shown is not None:
+        click.echo("", err=True)
+    tell(audit.figures(), as_json)
+
+
+def tell(found: dict, as_json: bool) -> None:
+    if as_json:
+        return click.echo(orjson.dumps(found))
+    for name, value in found.items():
+        if name != "faults":
+            click.echo(f"{name:<24} {value}")
+    for fault in found.get("faults", ()):
+        word = "begins" if fault["begins"] else "ends"
+        met = f"{fault['directors']} directors, nodes {', '.join(fault['nodes']) or 'none'}"
+        click.echo(f"{fault['at']:8.2f} s {fault['name']}: {fault['what']} {word}; {met} {fault['wrong']}")
--- /dev/null
+++ b/mulleinrelay/lab/fleet/evenness.py
@@ -0,0 +1,209 @@
+"""How evenly load lies on caches: pure. Loads are counts by cache and slot of time; a fair share goes by
+capacity. The model reckons its figures here too."""
+
+import math
+from bisect import bisect
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ...policy import mix
+
+HOT_SHARE, HOT_SPAN, HOT_OF = 0.02, 10.0, 200  # of a location's lookups, over so many s; of so many
+LEAST_FAIR = 4.0  # lookups a second a cache must be due, or its share says nothing
+TWICE, HALF, FIFTH = 2.0, 0.5, 0.2
+
+
+@dataclass(slots=True)
+class Box:
+    """A cache: its location, its capacity, and when it was well and warm (s, from and to)."""
+
+    name: str
+    key: int
+    location: str
+    capacity: float
+    well: list[tuple[float, float]]
+
+    def well_in(self, second: int) -> bool:
+        return any(first <= second and second + 1 <= last for first, last in self.well)
+
+
+@dataclass(slots=True)
+class Sent:
+    """One lookup's first leg."""
+
+    at: float  # s
+    box: str
+    key: int
+
+
+def percentile(values: Iterable[float], part: float) -> float:
+    """0 where there are none."""
+    held = sorted(values)
+    return held[min(len(held) - 1, int(part * len(held)))] if held else 0.0
+
+
+def by_second(sent: Iterable[Sent]) -> dict[int, Counter]:
+    """Loads by second and cache."""
+    found: dict[int, Counter] = defaultdict(Counter)
+    for one in sent:
+        found[int(one.at)][one.box] += 1
+    return found
+
+
+def ratios(loads: dict[int, Counter], boxes: dict[str, Box], seconds: Iterable[int]) -> list[float]:
+    """Load over fair share, by cache and second, for caches that are well; a location's load is shared out
+    among those."""
+    found = []
+    for second in seconds:
+        for held in well_by_location(boxes, second).values():
+            total = sum(loads[second][box.name] for box in held) if second in loads else 0
+            capacity = sum(box.capacity for box in held)
+            for box in held:
+                fair = total * box.capacity / capacity
+                if fair >= LEAST_FAIR:
+                    found.append(loads[second][box.name] / fair)
+    return found
+
+
+def well_by_location(boxes: dict[str, Box], second: int) -> dict[str, list[Box]]:
+    found: dict[str, list[Box]] = defaultdict(list)
+    for box in boxes.values():
+        if box.well_in(second):
+            found[box.location].append(box)
+    return found
+
+
+def all_seeing(sent: list[Sent], boxes: dict[str, Box]) -> list[Sent]:
+    """The same lookups as one who sees all of them would spread them under the design: by the directors'
+    hash; an object above the hot share of its location's lookups to one more cache for each such share, of
+    which the one with the least load by capacity in this second is taken."""
+    orders: dict[tuple[int, str], list[Box]] = {}
+    recent: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    counts: dict[tuple[str, int], int] = Counter()
+    load: dict[str, Counter] = defaultdict(Counter)
+    found, second = [], -1
+    for one in sorted(sent, key=lambda one: one.at):
+        if int(one.at) != second:
+            second, load = int(one.at), defaultdict(Counter)
+            well = well_by_location(boxes, second)
+            orders.clear()
+        location = boxes[one.box].location
+        held = recent[location]
+        held.append((one.at, one.key))
+        counts[location, one.key] += 1
+        while held[0][0] < one.at - HOT_SPAN:
+            counts[location, held.pop(0)[1]] -= 1
+        if not well[location]:
+            continue
+        spot = one.key, location
+        if spot not in orders:
+            orders[spot] = rendezvous(well[location], one.key)
+        share = counts[location, one.key] / max(len(held), HOT_OF)
+        among = orders[spot][: 1 + int(share / HOT_SHARE)]
+        best = min(among, key=lambda box: load[location][box.name] / box.capacity)
+        load[location][best.name] += 1
+        found.append(Sent(one.at, best.name, one.key))
+    return found
+
+
+def rendezvous(boxes: list[Box], key: int) -> list[Box]:
+    """As the directors order them."""
+    return sorted(boxes, key=lambda box: -math.log((mix(key, 0, box.key) + 1) / 2.0**64) / box.capacity)
+
+
+def herd_seconds(loads: dict[int, Counter], boxes: dict[str, Box], seconds: Iterable[int]) -> list[int]:
+    """Seconds in which a cache has over twice its share while a peer of its location is under half."""
+    found = []
+    for second in seconds:
+        for held in well_by_location(boxes, second).values():
+            total = sum(loads[second][box.name] for box in held) if second in loads else 0
+            capacity = sum(box.capacity for box in held)
+            parts = [
+                loads[second][box.name] * capacity / (total * box.capacity)
+                for box in held
+                if total * box.capacity / capacity >= LEAST_FAIR
+            ]
+            if parts and max(parts) > TWICE and min(parts) < HALF:
+                found.append(second)
+                break
+    return found
+
+
+def idle_spans(loads: dict[int, Counter], boxes: dict[str, Box], seconds: list[int]) -> dict[str, int]:
+    """By cache the longest run of seconds in which it was well and had under a fifth of its share."""
+    runs: Counter = Counter()
+    longest: dict[str, int] = dict.fromkeys(boxes, 0)
+    for second in seconds:
+        for held in well_by_location(boxes, second).values():
+            total = sum(loads[second][box.name] for box in held) if second in loads else 0
+            capacity = sum(box.capacity for box in held)
+            for box in held:
+                fair = total * box.capacity / capacity
+                idle = fair >= LEAST_FAIR and loads[second][box.name] < FIFTH * fair
+                runs[box.name] = runs[box.name] + 1 if idle else 0
+                longest[box.name] = max(longest[box.name], runs[box.name])
+        for name, box in boxes.items():
+            if not box.well_in(second):
+                runs[name] = 0
+    return longest
+
+
+def swings(shares: dict[int, dict[str, float]], seconds: Iterable[int]) -> float:
+    """The largest change of one member's share between neighbouring seconds."""
+    most = 0.0
+    for second in seconds:
+        if second in shares and second - 1 in shares:
+            names = shares[second].keys() | shares[second - 1].keys()
+            most = max(
+                [
+                    most,
+                    *(
+                        abs(shares[second].get(name, 0.0) - shares[second - 1].get(name, 0.0))
+                        for name in names
+                    ),
+                ]
+            )
+    return most
+
+
+def return_after(
+    loads: dict[int, Counter], boxes: dict[str, Box], name: str, second: int, last: int
+) -> float:
+    """Seconds from `second` until the cache has had half of its share over three seconds; the rest of the
+    play where it never has."""
+    box = boxes[name]
+    for now in range(second, last - 2):
+        ours = fair = 0.0
+        for step in range(now, now + 3):
+            held = [
+                other for other in boxes.values() if other.location == box.location and other.well_in(step)
+            ] or [box]
+            total = sum(
+                loads[step][other.name] for other in {id(other): other for other in (*held, box)}.values()
+            )
+            fair += (
+                total
+                * box.capacity
+                / sum(other.capacity for other in {id(other): other for other in (*held, box)}.values())
+            )
+            ours += loads[step][name]
+        if fair and ours >= HALF * fair:
+            return float(now - second)
+    return float(last - second)
+
+
+def slot_loads(
+    legs: list[tuple[float, str]], width: float, until: float
+) -> tuple[list[str], list[list[int]]]:
+    """Counts by name and slot of `width` s."""
+    names = sorted({name for _, name in legs})
+    place = {name: at for at, name in enumerate(names)}
+    edges = [width * slot for slot in range(1, int(until / width) + 1)]
+    found = [[0] * len(edges) for _ in names]
+    for at, name in legs:
+        if 0.0 <= at < until:
+            slot = bisect(edges, at)
+            if slot < len(edges):
+                found[place[name]][slot] += 1
+    return names, found
--- /dev/null
+++ b/mulleinrelay/lab/fleet/relay.py
@@ -0,0 +1,166 @@
+"""A relay in user space on the paths between directors and what they talk to: a process of its own. What it
+does with bytes and datagrams is decided in `paths.py`.
+
+What it can't do as a network does: a connection through a cut comes up at the relay, and only then stays
+silent; lost bytes show as a delay.
+"""
+
+import random
+import socket
+import sys
+from dataclasses import dataclass, field
+
+from ...standins.loop import READ, Loop, Wire, now_ms
+from . import addresses
+from .channel import obey, say
+from .paths import DOWN, UP, Book, Lane, rule_of
+
+DATAGRAM_MOST = 65_000
+
+
+@dataclass(slots=True, eq=False)
+class Way:
+    """One direction of a connection."""
+
+    name: str
+    source: Wire
+    target: Wire
+    lane: Lane = field(default_factory=Lane)
+    held: list[bytes | None] = field(default_factory=list)  # None: its end
+
+
+class Pair:
+    """A director's connection and the one that goes on to its target."""
+
+    def __init__(self, relay: "Relay", kind: str, name: str, director: int, near: Wire, beyond: Wire) -> None:
+        self.relay, self.kind, self.name, self.director = relay, kind, name, director
+        self.near, self.beyond = near, beyond
+        self.ways = [Way(UP, near, beyond), Way(DOWN, beyond, near)]
+        for way in self.ways:
+            way.source.heard = lambda data, way=way: self.pass_on(way, data)
+            way.source.over = lambda way=way: self.pass_on(way, None)
+
+    def pass_on(self, way: Way, data: bytes | None) -> None:
+        book, now = self.relay.book, now_ms()
+        if way.held or book.held(self.kind, self.director, self.name, way.name):
+            way.held.append(data)
+            way.source.read(False)  # the rest waits at its sender, as in a full pipe
+            return
+        due = book.due(
+            self.kind, self.director, self.name, way.name, now, len(data or b""), way.lane, self.relay.random
+        )
+        if due <= now:
+            self._put(way, data)
+        else:
+            self.relay.loop.at(due, lambda: self._put(way, data))
+
+    def _put(self, way: Way, data: bytes | None) -> None:
+        if data is not None:
+            way.target.put(data)
+        else:
+            self.reset()
+
+    def look_again(self) -> None:
+        """The rules have changed."""
+        if self.relay.book.broken(self.kind, self.director, self.name):
+            return self.reset()
+        for way in self.ways:
+            if way.held and not self.relay.book.held(self.kind, self.director, self.name, way.name):
+                held, way.held = way.held, []
+                way.source.read(True)
+                for data in held:
+                    self.pass_on(way, data)
+
+    def reset(self) -> None:
+        self.near.close(reset=True)
+        self.beyond.close(reset=True)
+        self.relay.pairs.pop(self, None)
+
+
+class Relay:
+    def __init__(self, first: dict) -> None:
+        self.loop, self.book, self.random = Loop(), Book(), random.Random(first["seed"])
+        self.pairs: dict[Pair, None] = {}
+        self.targets = {held["name"]: held for held in first["targets"]}
+        self.ports: dict[str, int] = {}
+        self.listeners: dict[str, socket.socket] = {}
+        self.gates: dict[int, socket.socket] = {}
+        for name in self.targets:
+            self.listen(name)
+        for director in first.get("datagrams", ()):
+            self.gates[director] = self._gate(director, first["datagram_port"])
+        self.datagram_port = first.get("datagram_port", 0)
+        obey(self.loop, self.obeyed)
+
+    def listen(self, name: str) -> None:
+        if name not in self.listeners:
+            listener = self.loop.listen(
+                "", self.ports.get(name, 0), lambda made: self.welcome(name, made), True
+            )
+            self.ports[name], self.listeners[name] = listener.getsockname()[1], listener
+
+    def welcome(self, name: str, connection: socket.socket) -> None:
+        held, director = self.targets[name], addresses.director_of(connection.getsockname()[0])
+        near = Wire(self.loop, connection)
+        if director < 0 or self.book.broken(held["kind"], director, name):
+            return near.close(reset=True)
+        beyond = self.loop.connect(tuple(held["to"]))
+        beyond.put(b"@%d\n" % director)  # tells the target who has come
+        self.pairs[Pair(self, held["kind"], name, director, near, beyond)] = None
+
+    def obeyed(self, held: dict) -> None:
+        if "rule" in held:
+            self.book.rules[held["rule"]] = rule_of(held["held"])
+        elif "lift" in held:
+            self.book.rules.pop(held["lift"], None)
+        elif "deaf" in held:
+            if (listener := self.listeners.pop(held["deaf"], None)) is not None:
+                self.loop.deaf(listener)
+            return
+        elif "hears" in held:
+            return self.listen(held["hears"])
+        for pair in list(self.pairs):
+            pair.look_again()
+
+    # Datagrams between directors
+
+    def _gate(self, director: int, port: int) -> socket.socket:
+        gate = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        gate.bind((addresses.peer(director), port))
+        gate.setblocking(False)
+        self.loop.selector.register(gate, READ, lambda _: self.carry(director, gate))
+        return gate
+
+    def carry(self, to: int, gate: socket.socket) -> None:
+        """What came for a director goes on from the address at which its sender is known."""
+        for _ in range(64):
+            try:
+                data, (host, port) = gate.recvfrom(DATAGRAM_MOST)
+            except OSError:
+                return
+            sender = addresses.director_of(host)
+            if sender not in self.gates or not host.startswith(f"127.{addresses.OWN}."):
+                continue
+            now = now_ms()
+            first = self.book.datagram("director", sender, str(to), UP, now, self.random)
+            for due in first:  # a rule may name the sender, or, the other way, the one it is for
+                for again in self.book.datagram("director", to, str(sender), DOWN, due, self.random):
+                    self.loop.at(again, lambda data=data, sender=sender: self._send(sender, to, data))
+
+    def _send(self, sender: int, to: int, data: bytes) -> None:
+        try:
+            self.gates[sender].sendto(data, (addresses.own(to), self.datagram_port))
+        except OSError:  # nobody there
+            pass
+
+
+def main() -> None:
+    import orjson
+
+    relay = Relay(orjson.loads(sys.stdin.buffer.raw.readline()))
+    say(ports=relay.ports)
+    relay.loop.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/mulleinrelay/lab/play.py
+++ b/mulleinrelay/lab/play.py
@@ -20,52 +20,12 @@
 from ..standins.fleet import BOX, ORIGIN, PARENT, Fleet, Node, Spec, now_ms
 from ..standins.servers import World
 from .scenario import Deed, Scenario
+from .start import settings
 
 READY_WITHIN = 15.0  # s
 MEMORY_MB, SOCKETS = 128, 1024
 
 
-def settings(scenario: Scenario) -> dict[str, Any]:
-    """The start settings that a platform would give."""
-    case = {"idempotency": "safe", "slo": 400.0, "deadline": 3000.0, "memorySpan": 6000.0, "group": "all"}
-    return {
-        "allowed": {
-            "cancel": True,
-            "connIdle": 30000.0,
-            "connectTimeout": 400.0,
-            "maxAttempts": 6,
-            "maxRetryAfter": 1000.0,
-            "maxStreams": 64,
-            "mayDuplicate": True,
-            "mayProbe": True,
-            "retryAfter": True,
-        },
-        "azs": ["hub", "edge"],
-        "shapes": [BOX, PARENT, ORIGIN],
-        "balancers": scenario.directors,
-        "myZone": 1,
-        "registryMode": "automatic",
-        "weights": "nominal",
-        "classes": [case | {"name": "pages"}, case | {"name": "order", "idempotency": "keyed"}],
-        "domain": {
-            "collapses": True,
-            "countByZone": [0, scenario.directors],
-            "freshFor": [0.0, 0.0],
-            "mayPassBy": True,
-            "midKind": 1,
-            "neverKept": [False, True],
-            "oneFlowKbPerS": 8000.0,
-            "parentStartsAt": scenario.cold_from,
-            "parentWarmsIn": scenario.cold_for or 1.0,
-            "peersFill": "location",
-            "purgeTakes": 1000.0,
-            "storeKind": 2,
-        },
-        "report": {"how": "none", "columns": []},
-        "rules": {"coldFrom": scenario.cold_from, "cold": scenario.cold_for or 1.0, "overloadFor": 1000.0},
-    }
-
-
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -228,7 +188,8 @@
                     "offset": 1,
                     "batch": [json.loads(self.world.stream.events[0].partition(b"data: ")[2])],
                 },
-                "settings": settings(scenario),
+                "settings": settings(["hub", "edge"], 1, [0, scenario.directors], scenario.cold_from,
+                                     scenario.cold_for),
             }
             self.directors.append(Director(f"n{place}", self.folder, whole, own, scenario.management))
         self._wait_ready()
--- /dev/null
+++ b/mulleinrelay/model/world.py
@@ -0,0 +1,461 @@
+"""The world of the model: clients, nodes, list and faults in simulated time.
+
+What it leaves out: CPU and queues of directors, links and their connections (a leg that is cut off is held
+and comes once the cut is over), trickling streams. A director is told of the caches of its own location, of
+all parents and of the origin; in the lab it is told of all.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from ..cells.charter import CharterError
+from ..configuration import Section, read_terms
+from ..interface import Leg, Outcome
+from ..lab.fleet.audit import Audit, Heard
+from ..lab.fleet.hosts import fields_of, fleet_of
+from ..lab.fleet.load import Demand, Wanted
+from ..lab.fleet.paths import DOWN, UP, Book, Lane, Rule
+from ..lab.fleet.plan import ON_NODES, ON_PATHS, Scenario, Strike
+from ..lab.start import settings
+from ..standins.fleet import BOX, ORIGIN, PARENT
+from .clock import Clock
+from .directors import Modelled
+
+DIRECTORS_MOST = 5_000
+CLIENT_MS, NODE_MS = 0.3, 0.5  # one way, as on loopback with the relay
+PAUSE = 100.0
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    number: int
+    asked: float
+    until: float
+    location: str
+    wanted: Wanted
+    director: int = -1
+    first: int = -1
+    tries: int = 0
+    over: bool = False
+
+
+class World:
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario, self.clock = scenario, Clock()
+        self.began = self.clock.now + 500.0
+        self.random = random.Random(f"{scenario.seed}-model")
+        self.fleet = fleet_of(scenario)
+        self.fleet.clock = self.clock
+        self.sites = {site.name: site for site in scenario.sites()}
+        self.heard = Heard(self.began, scenario.seconds)
+        self.book, self.rules = Book(), dict[str, int]()
+        self.lanes: dict[tuple[int, str, str], Lane] = defaultdict(Lane)
+        self.held: list[tuple[int, str, str, Callable[[], None]]] = []
+        self.stopped: dict[int, list[Callable[[], None]]] = {}
+        self.away: set[int] = set()
+        self.late: dict[int, float] = {}
+        self.out: dict[str, dict[Leg, Modelled]] = defaultdict(dict)  # by node, for when it dies
+        self.errs: dict[str, frozenset[int]] = {}
+        self.lags: dict[str, tuple[frozenset[int], float]] = {}
+        self.told: dict[tuple[int, str], float] = {}
+        self.case_places = {"pages": 0, "order": 1, "pay": 2}
+        self.places = scenario.places()
+        self.zone_of = {place: at for at, place in enumerate(self.places)}
+        self.kinds = {BOX: 0, PARENT: 1, ORIGIN: 2}
+        here = {place: scenario.here(place) for place in scenario.locations}
+        self.terms = {
+            place: read_terms(
+                Section(
+                    settings(
+                        self.places,
+                        self.zone_of[place],
+                        [len(here.get(each, ())) for each in self.places],
+                        scenario.cold_from,
+                        scenario.cold_ms,
+                        scenario.goal_ms,
+                        scenario.patience_ms,
+                        scenario.effects > 0.0,
+                        scenario.probes,
+                        scenario.parent_cold_ms,
+                        scenario.flow,
+                    ),
+                    "",
+                )
+            )
+            for place in scenario.locations
+        }
+        self.demands = {place: Demand(scenario, place) for place in scenario.locations}
+        self.starts = self.count = 0
+        self.directors = [self.make(number) for number in range(scenario.directors)]
+
+    def make(self, number: int) -> Modelled:
+        self.starts += 1
+        seed = self.scenario.seed * 100_003 + (0 if self.scenario.one_seed else 7919 * self.starts)
+        place = self.scenario.location_of(number)
+        made = Modelled(self, number, self.terms[place], self.zone_of, self.kinds, seed)
+        made.list(
+            [self.row(site.name) for site in self.sites.values() if site.kind != BOX or site.place == place],
+            whole=True,
+        )
+        return made
+
+    def row(self, name: str) -> dict:
+        node = self.fleet.nodes[name]
+        return {
+            "id": name,
+            "zone": self.sites[name].place,
+            "kind": node.spec.kind,
+            "state": node.state,
+            "weight": node.spec.weight,
+            "started_ms": node.started,
+        }
+
+    def since(self) -> float:
+        return (self.clock() - self.began) / 1000.0
+
+    # Clients
+
+    def ask(self, demand: Demand) -> None:
+        since, now = self.since(), self.clock()
+        if since >= self.scenario.seconds:
+            return
+        self.count += 1
+        self.attempt(
+            Pending(self.count, now, now + self.scenario.patience_ms, demand.location, demand.wanted(since))
+        )
+        self.clock.at(now + 1000.0 * demand.next_in(since), lambda: self.ask(demand))
+
+    def attempt(self, pending: Pending) -> None:
+        now, director = self.clock(), self.demands[pending.location].director(self.away)
+        if director is None or now > pending.until - 10.0:
+            return self.ended(pending, "nobody")
+        pending.tries, pending.director = pending.tries + 1, director
+        pending.first = director if pending.first < 0 else pending.first
+        tries = pending.tries
+        missing = pending.until + self.scenario.late_ms
+        self.clock.at(missing, lambda: pending.over or pending.tries != tries or self.unanswered(pending))
+        self.clock.at(now + CLIENT_MS, lambda: self.arrived(pending, director))
+
+    def arrived(self, pending: Pending, number: int) -> None:
+        if number in self.stopped:
+            return self.stopped[number].append(lambda: self.arrived(pending, number))
+        director = self.directors[number]
+        if director.gone:
+            return self.cut_off(pending, number)
+        director.look_up(pending, max(1.0, pending.until - self.clock()))
+
+    def cut_off(self, pending: Pending, number: int) -> None:
+        """Its director is dead: its client tries again, and the front passes it by after its notice."""
+        self.heard.others["cut"].append((self.since(), number, 1))
+        if self.directors[number].gone:
+            self.clock.at(
+                self.clock() + self.scenario.front_ms,
+                lambda: self.away.add(number) if self.directors[number].gone else None,
+            )
+        if pending.wanted.use_case != "pay" and pending.tries < self.scenario.tries:
+            return self.clock.at(self.clock() + PAUSE, lambda: pending.over or self.attempt(pending))
+        self.ended(pending, "cut off")
+
+    def answered(self, director: Modelled, pending: Pending, what: str, pause: float) -> None:
+        if pending.over:
+            return
+        now = self.clock()
+        again = now + (pause or PAUSE)
+        if what == "pushed back" and pending.tries < self.scenario.tries and again < pending.until:
+            return self.clock.at(again, lambda: pending.over or self.attempt(pending))
+        self.clock.at(now + CLIENT_MS, lambda: self.ended(pending, what))
+
+    def unanswered(self, pending: Pending) -> None:
+        self.heard.others["none"].append((self.since(), pending.director, pending.asked))
+        self.ended(pending, "no answer")
+
+    def ended(self, pending: Pending, what: str) -> None:
+        if not pending.over:
+            pending.over = True
+            wanted = pending.wanted
+            self.heard.looks.append(
+                (
+                    (pending.asked - self.began) / 1000.0,
+                    self.clock() - pending.asked,
+                    pending.location,
+                    pending.first,
+                    pending.director,
+                    wanted.use_case,
+                    wanted.key,
+                    what,
+                    pending.tries,
+                )
+            )
+
+    # Legs
+
+    def carry(self, director: int, name: str, way: str, do: Callable[[], None]) -> None:
+        """Over the path between a director and a node, as the rules have it."""
+        kind = "cache" if self.sites[name].kind == BOX else "parent"
+        if self.book.held(kind, director, name, way):
+            return self.held.append((director, name, way, do))
+        due = self.clock() + NODE_MS
+        if self.book.rules:
+            due = self.book.due(
+                kind, director, name, way, due, 300, self.lanes[director, name, way], self.random
+            )
+        self.clock.at(due, do)
+
+    def send(self, director: Modelled, leg: Leg, name: str, fields: dict[str, str]) -> None:
+        self.out[name][leg] = director
+        kind = "cache" if self.sites[name].kind == BOX else "parent"
+        if self.book.rules and self.book.broken(kind, director.number, name):
+            return self.clock.at(
+                self.clock() + NODE_MS, lambda: self.lost(director, leg, name, Outcome.RESET)
+            )
+        self.carry(director.number, name, UP, lambda: self.reached(director, leg, name, fields))
+
+    def lost(self, director: Modelled, leg: Leg, name: str, outcome: Outcome) -> None:
+        self.out[name].pop(leg, None)
+        director.ended(leg, outcome)
+
+    def reached(self, director: Modelled, leg: Leg, name: str, fields: dict[str, str]) -> None:
+        node, number, now = self.fleet.nodes[name], director.number, self.clock()
+        if not node.alive:
+            return self.clock.at(now + NODE_MS, lambda: self.lost(director, leg, name, Outcome.UNCONNECTED))
+        if leg.outcome is not None or director.gone:
+            return self.out[name].pop(leg, None)
+        words, due, old = (b"BROKE", b"-", b""), now + 1.0, False
+        if number not in self.errs.get(name, ()):
+            reply = self.fleet.pull(name, fields)
+            words, due = reply.words, reply.due
+            old = self.too_old(number, fields, words[1], now)
+        held = fields_of(words[1])
+        self.heard.legs.append(
+            (
+                self.since(),
+                number,
+                name,
+                fields["lane"],
+                fields["name"],
+                fields["miss"],
+                fields["f"],
+                words[0].decode(),
+                held.get("why", ""),
+                int(old),
+                f"{leg.lookup.ticket.number}-{leg.lookup.ticket.tries}",
+            )
+        )
+        for fallen in {name, fields["miss"]} - {""}:
+            if not self.fleet.nodes[fallen].alive and not self.fleet.nodes[fallen].state == "DELETED":
+                self.heard.others["fell"].append((self.since(), fallen))
+                self.die(fallen)
+        if due is None or not node.alive:
+            return
+        some, times = self.lags.get(name, ((), 1.0))
+        due = now + (due - now) * (times if number in some else 1.0)
+        self.clock.at(due, lambda: self.back(director, leg, name, words[0].decode(), held))
+
+    def back(self, director: Modelled, leg: Leg, name: str, word: str, held: dict[str, str]) -> None:
+        if self.out[name].pop(leg, None) is None or self.fleet.nodes[name].silent:
+            return
+        number = director.number
+
+        def told() -> None:
+            if number in self.stopped:
+                return self.stopped[number].append(told)
+            director.answered(leg, word, held.get("why", ""), float(held.get("delay", 0.0)))
+
+        self.carry(number, name, DOWN, told)
+
+    def too_old(self, director: int, fields: dict[str, str], said: bytes, now: float) -> bool:
+        told, issued = self.told.get((director, fields["name"])), fields_of(said).get("issued")
+        return (
+            told is not None
+            and issued is not None
+            and now > told + 1000.0
+            and float(issued) < self.fleet.purged[fields["name"]]
+        )
+
+    def probe(self, director: Modelled, name: str) -> None:
+        self.heard.others["probe"].append((self.since(), director.number, name, "METER"))
+        node = self.fleet.nodes[name]
+        if node.alive and not node.silent:
+            self.clock.at(
+                self.clock() + 2.0 * NODE_MS,
+                lambda: None if director.gone else director.play("told", director.members[name], {}),
+            )
+
+    # Faults
+
+    def announce(self, name: str) -> None:
+        """The list tells each director in its own time, within the notice."""
+        row, box = self.row(name), self.sites[name]
+        for number in range(self.scenario.directors):
+            if box.kind != BOX or self.scenario.location_of(number) == box.place:
+                due = (
+                    self.clock() + self.random.uniform(*self.scenario.notice_ms) + self.late.get(number, 0.0)
+                )
+                self.clock.at(due, lambda number=number: self.hear(number, row))
+
+    def hear(self, number: int, row: dict) -> None:
+        director = self.directors[number]
+        if director.gone:
+            return
+        if number in self.stopped:
+            return self.stopped[number].append(lambda: self.hear(number, row))
+        self.heard.others["told"].append((self.since(), number, row["id"], row["state"], row["started_ms"]))
+        director.list([row])
+
+    def die(self, name: str) -> None:
+        node = self.fleet.nodes[name]
+        node.alive, node.state = False, "DELETED"
+        out, self.out[name] = self.out[name], {}
+        for leg, director in out.items():
+            self.clock.at(
+                self.clock() + NODE_MS, lambda leg=leg, director=director: director.ended(leg, Outcome.RESET)
+            )
+        self.announce(name)
+
+    def revive(self, name: str) -> None:
+        node = self.fleet.nodes[name]
+        node.forget()
+        node.started, node.state, node.alive, node.silent = self.clock(), "SERVING", True, False
+        self.announce(name)
+
+    def strike(self, strike: Strike) -> None:
+        fault, begins = strike.fault, strike.begins
+        self.heard.others["fault"].append(
+            (
+                self.since(),
+                strike.name,
+                strike.what,
+                begins,
+                list(strike.directors),
+                list(strike.nodes),
+                fault.location,
+                "",
+            )
+        )
+        if strike.what in ON_PATHS:
+            self._path(strike)
+        elif strike.what == "late_list":
+            for number in strike.directors:
+                self.late[number] = 1000.0 * (fault.by or 9.0) if begins else 0.0
+        elif strike.what == "purge" and begins:
+            self._purge(f"{(1 << 32) + 1:016x}")
+        elif strike.what in ON_NODES:
+            for name in strike.nodes:
+                self._node(strike, name)
+        else:
+            for number in strike.directors:
+                self._director(strike.what, number, begins)
+
+    def _path(self, strike: Strike) -> None:
+        fault = strike.fault
+        if strike.begins:
+            self.rules[strike.name] = len(self.rules) + 1
+            self.book.rules[self.rules[strike.name]] = Rule(
+                fault.paths,
+                frozenset(strike.directors),
+                frozenset(strike.nodes),
+                fault.way,
+                cut=fault.what == "cut",
+                reset=fault.what == "reset",
+                jitter=fault.jitter,
+                delay=(fault.by or 100.0) if fault.what == "delay" else 0.0,
+                loss=(fault.by or 0.1) if fault.what == "loss" else 0.0,
+            )
+            return
+        self.book.rules.pop(self.rules[strike.name], None)
+        held, self.held = self.held, []
+        for director, name, way, do in held:
+            self.carry(director, name, way, do)
+
+    def _purge(self, key: str) -> None:
+        now = self.clock()
+        self.fleet.purged[key] = now
+        for node in self.fleet.nodes.values():
+            self.clock.at(
+                now + self.random.uniform(200.0, 3000.0),
+                lambda node=node: (
+                    node.copies.pop((key, "0"), None) if node.copies.get((key, "0"), now) < now else None
+                ),
+            )
+        for number, director in enumerate(self.directors):
+
+            def hear(number: int = number, director: Modelled = director) -> None:
+                if not director.gone:
+                    self.told[number, key] = self.clock()
+                    director.play("purged", int(key, 16), 0, self.clock() - now)
+
+            self.clock.at(now + self.random.uniform(*self.scenario.notice_ms) / 3.0, hear)
+
+    def _node(self, strike: Strike, name: str) -> None:
+        node, some, by = self.fleet.nodes[name], frozenset(strike.directors), strike.fault.by or 10.0
+        if strike.what in ("node_kill", "node_cold"):
+            if strike.begins:
+                self.die(name)
+            else:
+                self.revive(name)
+        elif strike.what == "node_silent":
+            node.silent = strike.begins
+            if not strike.begins:
+                self.revive(name)
+        elif strike.what == "node_slow" and len(some) >= self.scenario.directors:
+            node.slow = by if strike.begins else 1.0
+        elif strike.what == "node_slow":
+            self.lags[name] = (some, by) if strike.begins else (frozenset(), 1.0)
+        elif strike.what == "node_errors":
+            self.errs[name] = some if strike.begins else frozenset()
+        elif strike.what == "drain":
+            node.state = "DRAINING" if strike.begins else "SERVING"
+            self.announce(name)
+
+    def _director(self, what: str, number: int, begins: bool) -> None:
+        director = self.directors[number]
+        if what == "stop":
+            if begins:
+                self.stopped[number] = []
+            else:
+                for do in self.stopped.pop(number, []):
+                    do()
+        elif what == "kill" and begins:
+            director.gone = True
+            for pending in list(director.open.values()):
+                self.cut_off(pending, number)
+        elif what == "kill":
+            self.directors[number] = self.make(number)
+            self.away.discard(number)
+        elif begins:  # a restart: its open lookups end, then it stands there anew
+            self.heard.others["term"].append((self.since(), number))
+            for lookup in list(director.open):
+                director.play("woken", lookup)
+            director.gone = True
+            self.directors[number] = self.make(number)
+
+    def run(self, live: Callable[[float, int, int], None] | None = None) -> Heard:
+        for demand in self.demands.values():
+            self.clock.at(self.began + 1000.0 * demand.next_in(0.0), lambda demand=demand: self.ask(demand))
+        for strike in self.scenario.strikes():
+            self.clock.at(self.began + 1000.0 * strike.at, lambda strike=strike: self.strike(strike))
+        end = self.began + 1000.0 * self.scenario.seconds + self.scenario.patience_ms + 300.0
+        while self.clock.now < end:
+            self.clock.run(min(end, self.clock.now + 500.0))
+            if live is not None:
+                looks = self.heard.looks
+                live(self.since(), len(looks), sum(look[7] == "satisfied" for look in looks))
+        effects = self.fleet.effects
+        self.heard.others["effects"].append(
+            (sum(times > 1 for times in effects.values()), len(effects), self.fleet.origin_fetches)
+        )
+        return self.heard
+
+
+def play(
+    scenario: Scenario, directors: int | None = None, live: Callable[[float, int, int], None] | None = None
+) -> dict[str, Any]:
+    """The figures of a play, by the lab's own audit. Raises CharterError."""
+    if directors is not None:
+        if not 1 <= directors <= DIRECTORS_MOST:
+            raise CharterError(f"[directors] count: 1 to {DIRECTORS_MOST} is wanted, not {directors}")
+        scenario = replace(scenario, directors=directors)
+    return Audit(scenario, World(scenario).run(live)).figures()
--- a/mulleinrelay/standins/fleet.py
+++ b/mulleinrelay/standins/fleet.py
@@ -31,7 +31,10 @@
     cold_from: float = 1.0  # share of its capacity when it has just started
     cold_for: float = 0.0  # ms until it has all
     holds: int = 0  # copies it has room for, the oldest go first; 0: any number
-    falls: bool = False  # whether more than it can bear over two windows kills it
+    falls: bool = False  # whether more than it can bear for too long kills it
+    falls_at: float = 1.0  # times what it can do now
+    falls_after: float = 2.0 * WINDOW  # ms
+    falls_warm: bool = True  # whether it may fall once it is warm
 
 
 class Node:
@@ -64,11 +67,12 @@
             self.in_window -= self.recent.popleft()[1]
         load = self.in_window / (capacity * WINDOW)
         self.peak = max(self.peak, load)
-        if load <= 1.0:
+        if load <= self.spec.falls_at:
             self.over_since = 0.0
         elif self.spec.falls:
             self.over_since = self.over_since or now
-            if now > self.over_since + 2.0 * WINDOW:
+            warm = self.warmth(now) >= 1.0
+            if now > self.over_since + self.spec.falls_after and (self.spec.falls_warm or not warm):
                 self.alive = False
         if self.free_at > now + FULL_AFTER:
             self.counts["full"] += 1
@@ -112,10 +116,11 @@
     purged: dict[str, float] = field(default_factory=dict)  # objects: the moment of their last purge
     stale: int = 0  # answers older than a purge that was told over a second before
     lock: threading.Lock = field(default_factory=threading.Lock)
+    clock: Callable[[], float] = now_ms
 
     def pull(self, name: str, fields: dict[str, str]) -> Reply:
         """One command to a node: what it answers, and when."""
-        now, node = now_ms(), self.nodes[name]
+        now, node = self.clock(), self.nodes[name]
         with self.lock:
             node.counts["asked"] += 1
             node.last_named = now
@@ -205,7 +210,7 @@
     def _done(
         self, spot: tuple[str, str], issued: float, now: float, why: str, waited: float
     ) -> tuple[bytes, ...]:
-        if now > self.purged.get(spot[0], now) + 1_000.0 and issued < self.purged[spot[0]]:
+        if self.too_old(spot[0], issued, now):
             self.stale += 1
         return (
             b"DONE",
@@ -213,6 +218,10 @@
             self.body,
         )
 
+    def too_old(self, key: str, issued: float, now: float) -> bool:
+        """Whether a copy is older than a purge that was told over a second before."""
+        return now > self.purged.get(key, now) + 1_000.0 and issued < self.purged[key]
+
     def _whole(
         self, node: Node, done: float | None, now: float, spot: tuple[str, str], issued: float, why: str
     ) -> Reply:
--- /dev/null
+++ b/tests/lab/test_evenness.py
@@ -0,0 +1,90 @@
+from collections import Counter
+
+import pytest
+
+from mulleinrelay.lab.fleet import evenness
+from mulleinrelay.lab.fleet.evenness import Box, Sent
+
+ALWAYS = [(0.0, 1e9)]
+
+
+def boxes(*capacities, well=None):
+    return {
+        f"c{at}": Box(f"c{at}", at + 1, "north", capacity, (well or {}).get(at, ALWAYS))
+        for at, capacity in enumerate(capacities)
+    }
+
+
+def loads(*seconds):
+    return {
+        second: Counter({f"c{at}": count for at, count in enumerate(counts)})
+        for second, counts in enumerate(seconds)
+    }
+
+
+@pytest.mark.parametrize(
+    "counts, herd",
+    [
+        ((30, 10, 20), []),  # nobody is over twice its share
+        ((41, 9, 10), [0]),
+        ((41, 15, 4), [0]),
+        ((41, 10, 9), [0]),
+        ((9, 1, 1), []),  # too few lookups to tell
+    ],
+)
+def test_a_herd_is_found(counts, herd):
+    assert evenness.herd_seconds(loads(counts), boxes(1.0, 1.0, 1.0), [0]) == herd
+
+
+def test_shares_go_by_capacity_and_by_who_is_well():
+    held, load = (
+        boxes(2.0, 1.0, 1.0, well={2: [(0.0, 1.0), (2.0, 9.0)]}),
+        loads((20, 10, 10), (20, 10, 0), (0, 20, 20)),
+    )
+    assert evenness.ratios(load, held, [0]) == [1.0, 1.0, 1.0]
+    assert evenness.ratios(load, held, [1]) == [1.0, 1.0]
+    assert evenness.ratios(load, held, [2]) == [0.0, 2.0, 2.0]
+
+
+@pytest.mark.parametrize("well, longest", [(None, 3), ({0: [(0.0, 2.0), (3.0, 9.0)]}, 2)])
+def test_an_idle_cache_is_found_while_it_is_well(well, longest):
+    load = loads((1, 30, 30), (0, 30, 30), (2, 30, 30), (20, 30, 30))
+    assert evenness.idle_spans(load, boxes(1.0, 1.0, 1.0, well=well), [0, 1, 2, 3])["c0"] == longest
+
+
+def test_one_who_sees_all_spreads_what_is_hot_and_leaves_the_rest_to_the_hash():
+    held = boxes(1.0, 1.0, 1.0, 1.0)
+    sent = [Sent(at / 1000.0, "c0", 77 if at % 2 else at) for at in range(4000)]
+    seen = evenness.all_seeing(sent, held)
+    hot = Counter(one.box for one in seen if one.key == 77)
+    assert len(hot) == 4 and max(hot.values()) < 800
+    assert all(
+        one.box == evenness.rendezvous(list(held.values()), one.key)[0].name for one in seen if one.key != 77
+    )
+
+
+@pytest.mark.parametrize(
+    "shares, most",
+    [
+        ({0: {"p": 0.5, "q": 0.5}, 1: {"p": 0.1, "q": 0.9}}, 0.4),
+        ({0: {"p": 0.5}, 2: {"p": 0.1}}, 0.0),
+        ({0: {"p": 1.0}, 1: {"q": 1.0}}, 1.0),
+    ],
+)
+def test_a_swing_between_neighbouring_seconds(shares, most):
+    assert evenness.swings(shares, range(4)) == pytest.approx(most)
+
+
+@pytest.mark.parametrize(
+    "first, after", [((20, 20, 20, 20, 20, 20), 0.0), ((0, 0, 0, 20, 20, 20), 2.0), ((0, 0, 0, 0, 0, 0), 6.0)]
+)
+def test_how_long_a_cache_takes_to_come_back_to_its_share(first, after):
+    load = loads(*[(count, 20, 20) for count in first])
+    assert evenness.return_after(load, boxes(1.0, 1.0, 1.0), "c0", 0, 6) == after
+
+
+def test_loads_by_slot():
+    names, counts = evenness.slot_loads(
+        [(0.05, "b"), (0.31, "a"), (0.39, "a"), (-1.0, "a"), (0.5, "a")], 0.1, 0.5
+    )
+    assert names == ["a", "b"] and counts == [[0, 0, 0, 2, 0], [1, 0, 0, 0, 0]]
--- /dev/null
+++ b/tests/lab/test_fleet.py
@@ -0,0 +1,169 @@
+"""Some forty processes with faults between them, judged by counts; and that nothing of a lab is left."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import psutil
+import pytest
+
+from mulleinrelay.lab.fleet.audit import Audit, read
+from mulleinrelay.lab.fleet.play import FleetLab
+from mulleinrelay.lab.fleet.plan import read_fleet
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+# What depends on this machine's speed is left wide: answers, stops and drains have seconds to spare.
+TROUBLED = """
+[fleet lab]
+seconds = 24
+warm_s = 4
+seed = 5
+[directors]
+count = 34
+uneven = 1.0
+[nodes]
+locations = north south
+caches = 4
+capacity = 60
+falls = no
+[load]
+rate = 90
+objects = 300
+patience_ms = 6000
+late_ms = 5000
+goal_ms = 2000
+[fault cutoff]
+what = cut
+location = north
+share = 0.5
+at = 5
+for = 2
+[fault half]
+what = node_errors
+share = 0.25
+seen_by = 0.5
+at = 5
+for = 4
+[fault dead]
+what = node_cold
+share = 0.25
+location = south
+at = 6
+for = 3
+[fault late]
+what = late_list
+share = 0.5
+by = 3
+at = 4
+for = 8
+[fault many]
+what = kill
+share = 0.7
+at = 10
+for = 4
+[fault stopped]
+what = stop
+share = 0.1
+at = 17
+for = 2
+[fault all]
+what = restart
+share = 0.5
+over = 4
+at = 17
+[fault drained]
+what = drain
+share = 0.25
+at = 18
+[fault purged]
+what = purge
+at = 19
+"""
+
+
+def processes_of(folder):
+    found = []
+    for process in psutil.process_iter(["pid", "cmdline"]):
+        if any(folder in word for word in process.info["cmdline"] or ()):
+            found.append(process)
+    return found
+
+
+@pytest.fixture(scope="module")
+def troubled(tmp_path_factory):
+    folder = str(tmp_path_factory.mktemp("fleet"))
+    scenario = read_fleet(TROUBLED)
+    lab = FleetLab(scenario, TROUBLED, folder)
+    alive = []
+    lab.run(before=lambda lab: alive.extend(processes_of(folder)))
+    return folder, Audit(scenario, read(folder)), alive
+
+
+def test_the_rules_hold_through_faults_between_forty_processes(troubled):
+    _, audit, alive = troubled
+    figures = audit.figures()
+    assert len(alive) >= 34 and len(alive) + 5 >= 39  # with hosts, relays, clients and keeper
+    assert {rule: figures[rule] for rule in audit.rules()} == dict.fromkeys(audit.rules(), 0)
+    assert [fault["wrong"] for fault in figures["faults"]] == [""] * len(figures["faults"])
+    assert figures["lookups"] > 1200 and figures["outcomes"]["satisfied"] > 0.6 * figures["lookups"]
+
+
+def test_each_fault_shows_at_the_other_side(troubled):
+    _, audit, _ = troubled
+    legs, faults = audit.heard.legs, {fault[1]: fault for fault in audit.faults if fault[3]}
+    cut, killed = (
+        set(faults["cutoff"][4]),
+        [fault for fault in audit.faults if fault[1] == "many" and fault[3]],
+    )
+    during = [leg for leg in legs if faults["cutoff"][0] + 0.5 < leg[0] < faults["cutoff"][0] + 1.8]
+    north = {name for name, box in audit.boxes.items() if box.location == "north"}
+    assert during and not [leg for leg in during if leg[1] in cut and leg[2] in north]
+    errs = set(faults["half"][4])
+    assert {leg[1] for leg in legs if leg[7] == "BROKE" and leg[8] == ""} <= errs
+    dead = set(killed[0][4])
+    assert len(dead) == 24
+    gone = [leg for leg in legs if killed[0][0] + 0.5 < leg[0] < killed[0][0] + 3.5]
+    assert gone and not [leg for leg in gone if leg[1] in dead]
+    assert [leg for leg in legs if leg[1] in dead and leg[0] > killed[0][0] + 5.0]  # they came back
+    assert audit.heard.others["term"] and audit.heard.others["again"]
+    late = set(faults["late"][4])
+    told = {
+        director: at
+        for at, director, _, state, _ in reversed(audit.heard.others["told"])
+        if state == "DELETED"
+    }
+    waits = [told[director] - faults["dead"][0] for director in told]
+    assert [wait for director, wait in zip(told, waits, strict=True) if director in late] > [2.9]
+    assert min(wait for director, wait in zip(told, waits, strict=True) if director not in late) < 2.5
+
+
+def test_nothing_of_it_is_left(troubled):
+    folder, _, alive = troubled
+    assert not [process for process in alive if process.is_running()] and not processes_of(folder)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+def test_nothing_is_left_of_a_lab_that_is_ended(number, tmp_path):
+    path, temporary = tmp_path / "small.ini", tmp_path / "tmp"
+    path.write_text("[fleet lab]\nseconds = 60\n[directors]\ncount = 6\n[load]\nrate = 20\n")
+    temporary.mkdir()
+    program = subprocess.Popen(
+        [sys.executable, "-m", "mulleinrelay", "lab", str(path), "--quiet"],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        env=os.environ | {"TMPDIR": str(temporary)},
+    )
+    end, held = time.monotonic() + 30.0, []
+    while len(held) < 7 and time.monotonic() < end:  # six directors and the keeper name the folder
+        time.sleep(0.1)
+        held = processes_of(str(temporary))
+    others = psutil.Process(program.pid).children(recursive=True)
+    program.send_signal(number)
+    program.wait(30.0)
+    program.stderr.close()
+    assert len(others) >= 10
+    _, alive = psutil.wait_procs(others, timeout=20.0)
+    assert not alive and not list(temporary.iterdir())
--- /dev/null
+++ b/tests/lab/test_plan.py
@@ -0,0 +1,103 @@
+import pytest
+
+from mulleinrelay.cells.charter import CharterError
+from mulleinrelay.lab.fleet import addresses
+from mulleinrelay.lab.fleet.load import Demand
+from mulleinrelay.lab.fleet.plan import read_fleet
+
+HEAD = "[fleet lab]\nseconds = 30\nseed = 3\n"
+KILL = HEAD + "[fault k]\nwhat = kill\nat = 5\nfor = 8\nshare = 0.7\n"
+
+
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        (HEAD + "[fleet]\n", r"\[fleet\]: an unknown section"),
+        (HEAD + "colour = red\n", r"\[fleet lab\] colour: an unknown key"),
+        (HEAD + "warm_s = 40\n", r"\[fleet lab\] warm_s"),
+        (HEAD + "[directors]\ncount = 401\n", r"\[directors\] count"),
+        (HEAD + "[nodes]\nlocations = a a\n", r"\[nodes\] locations"),
+        (HEAD + "[nodes]\nlocations = a b c\ncaches = 900\n", r"\[nodes\] caches"),
+        (HEAD + "[nodes]\nnotice_from_ms = 900\nnotice_to_ms = 100\n", r"\[nodes\] notice_to_ms"),
+        (HEAD + "[load]\nrate = much\n", r"\[load\] rate"),
+        (HEAD + "[fault]\nwhat = kill\n", r"\[fault\]: an unknown section"),
+        (HEAD + "[fault a]\nat = 3\n", r"\[fault a\] what"),
+        (HEAD + "[fault a]\nwhat = cut\n", r"\[fault a\] at: the key is missing"),
+        (HEAD + "[fault a]\nwhat = cut\nat = 3\npaths = moon\n", r"\[fault a\] paths"),
+        (HEAD + "[fault a]\nwhat = cut\nat = 3\nlocation = west\n", r"\[fault a\] location"),
+        (HEAD + "[fault a]\nwhat = cut\nat = 3\nway = left\n", r"\[fault a\] way"),
+        (HEAD + "[fault a]\nwhat = cut\nat = 28\nfor = 3\n", r"\[fault a\] for"),
+        (HEAD + "[fault a]\nwhat = node_slow\nat = 3\nnodes = c-0\n", r"\[fault a\] nodes"),
+        (HEAD + "[fault a]\nwhat = shift\nat = 3\nlocation = north\n", r"\[fault a\] other"),
+    ],
+)
+def test_a_fault_names_its_key(text, told):
+    with pytest.raises(CharterError, match=told):
+        read_fleet(text)
+
+
+def test_the_same_seed_gives_the_same_plan_and_another_one_does_not():
+    def drawn(text):
+        return [(strike.at, strike.directors) for strike in read_fleet(text).strikes()]
+
+    assert drawn(KILL) == drawn(KILL) != drawn(KILL.replace("seed = 3", "seed = 4"))
+    assert [len(directors) for _, directors in drawn(KILL)] == [28] + 28 * [1]
+
+
+@pytest.mark.parametrize(
+    "more, whom, begin, end",
+    [
+        ("what = stop\nshare = 0.5\nfor = 5\n", 20, 1, 1),
+        ("what = restart\nover = 10\n", 1, 40, 0),
+        ("what = cut\nlocation = north\nfor = 6\n", 20, 1, 1),
+        ("what = node_errors\nseen_by = 0.5\nshare = 0.25\nfor = 6\n", 20, 1, 1),
+    ],
+)
+def test_whom_a_fault_meets(more, whom, begin, end):
+    strikes = read_fleet(HEAD + "[fault a]\nat = 4\n" + more).strikes()
+    assert {len(strike.directors) for strike in strikes} == {whom}
+    assert [sum(strike.begins is begins for strike in strikes) for begins in (True, False)] == [begin, end]
+    assert all(4.0 <= strike.at <= 14.0 for strike in strikes)
+
+
+def test_load_lies_unevenly_and_sums_up():
+    scenario = read_fleet(HEAD + "[directors]\ncount = 300\nuneven = 1.2\n[load]\nrate = 900\n")
+    rates = scenario.rates()
+    assert 0.95 < sum(rates) / 900 < 1.1 and max(rates) > 25 and min(rates) < 0.4
+
+
+def test_nodes_have_names_of_their_own_and_a_place():
+    scenario = read_fleet(HEAD + "[nodes]\nlocations = a b c d e f g h\ncaches = 12\nparents = 8\n")
+    sites = scenario.sites()
+    assert len({site.name for site in sites}) == len(sites) == 8 * 12 + 16 + 1
+    assert {site.place for site in sites} == set(scenario.places())
+
+
+@pytest.mark.parametrize("since, north, south", [(5.0, 1.0, 1.0), (12.0, 0.5, 1.5), (25.0, 1.0, 1.0)])
+def test_load_moves_from_one_location_to_another(since, north, south):
+    scenario = read_fleet(
+        HEAD + "[directors]\nuneven = 0\n[fault s]\nwhat = shift\nat = 10\nfor = 5\nby = 0.5\n"
+        "location = north\nother = south\n"
+    )
+    usual = scenario.rate / 2
+    assert Demand(scenario, "north").rate(since) == pytest.approx(north * usual)
+    assert Demand(scenario, "south").rate(since) == pytest.approx(south * usual)
+
+
+def test_a_sudden_hot_object_takes_its_share():
+    scenario = read_fleet(HEAD + "[load]\norders = 0\n[fault h]\nwhat = hot\nat = 10\nfor = 5\nby = 0.2\n")
+    demand = Demand(scenario, "north")
+    keys = [demand.wanted(12.0).key for _ in range(2000)]
+    hot = max(set(keys), key=keys.count)
+    assert 0.17 < keys.count(hot) / 2000 < 0.24 and hot not in [demand.wanted(8.0).key for _ in range(2000)]
+
+
+@pytest.mark.parametrize("director", [0, 1, 254, 255, 256, 399, 4999])
+def test_an_address_tells_its_director(director):
+    held = [addresses.own(director), addresses.far(director), addresses.peer(director)]
+    assert [addresses.director_of(address) for address in held] == [director] * 3 and len(set(held)) == 3
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1", "10.20.0.1", "127.40.0.1", "x"])
+def test_who_else_comes_is_nobody(address):
+    assert addresses.director_of(address) == -1
