Caches come back to their share at once after a cut: echoes, hot ties, held-up answers

Cause, seen in the fleet lab on real processes (60 directors, deploy/lab-fleet.ini, location west cut off from 12 to 18 s): after the cut one cache took twice its share while others idled until 30 s. Logs: 'taken back' dragged on to 30 s, as a director earns one trial in 20 lookups for all that it shuns (policy.py, trial); and a hit that the cut had held up (percent lateness in the thousands) kept its cache from its share for 10 s (crowd). Ruled out: the hot object, which only made it easier to see; the list, which said nothing. Of a hot object's caches all directors took the first, as equals were kept in hash order (best). Change: a member shunned for silence, resets or refusals is asked for an echo, more rarely the more directors share it and at a moment of its own (spread/watching.py, pure); an answer takes it back. Lateness of one hit counts up to 300%. Ties among a hot object's caches are drawn by each director.

--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -225,10 +225,10 @@
         with self.lock:
             self._play("purged", key, group, self.clock() - at)
 
-    def told(self, node: Member, load: dict[str, float] | None) -> None:
+    def told(self, node: Member, load: dict[str, float] | None, well: bool = True) -> None:
         """What a probe brought."""
         with self.lock:
-            self._play("told", node, load)
+            self._play("told", node, load, well)
 
     def tick(self) -> tuple[float, list[tuple[Member, Place]], list[Lookup]]:
         """Runs the timers that are due; gives when to call again, the nodes to be probed, and the lookups to
--- a/mulleinrelay/lab/fleet/relay.py
+++ b/mulleinrelay/lab/fleet/relay.py
@@ -26,7 +26,7 @@
     source: Wire
     target: Wire
     lane: Lane = field(default_factory=Lane)
-    held: list[bytes | None] = field(default_factory=list)  # None: its end
+    held: list[bytes] = field(default_factory=list)  # while it is cut
 
 
 class Pair:
@@ -43,8 +43,9 @@
     def pass_on(self, way: Way, data: bytes | None) -> None:
         book, now = self.relay.book, now_ms()
         if way.held or book.held(self.kind, self.director, self.name, way.name):
+            if data is None:  # given up at one side: what is held never comes, as in a dead network
+                return self.reset()
             way.held.append(data)
-            way.source.read(False)  # the rest waits at its sender, as in a full pipe
             return
         due = book.due(
             self.kind, self.director, self.name, way.name, now, len(data or b""), way.lane, self.relay.random
@@ -67,7 +68,6 @@
         for way in self.ways:
             if way.held and not self.relay.book.held(self.kind, self.director, self.name, way.name):
                 held, way.held = way.held, []
-                way.source.read(True)
                 for data in held:
                     self.pass_on(way, data)
 
--- a/mulleinrelay/model/world.py
+++ b/mulleinrelay/model/world.py
@@ -20,6 +20,7 @@
 from ..lab.fleet.paths import DOWN, UP, Book, Lane, Rule
 from ..lab.fleet.plan import ON_NODES, ON_PATHS, Scenario, Strike
 from ..lab.start import settings
+from ..net.caches import ECHO_WAIT, QUIET
 from ..standins.fleet import BOX, ORIGIN, PARENT
 from .clock import Clock
 from .directors import Modelled
@@ -196,7 +197,10 @@
         """Over the path between a director and a node, as the rules have it."""
         kind = "cache" if self.sites[name].kind == BOX else "parent"
         if self.book.held(kind, director, name, way):
-            return self.held.append((director, name, way, do))
+            self.held.append((director, name, way, do))
+            return self.clock.at(
+                self.clock() + QUIET / 2.0 + ECHO_WAIT, lambda: self.quiet(director, name, way)
+            )
         due = self.clock() + NODE_MS
         if self.book.rules:
             due = self.book.due(
@@ -204,6 +208,14 @@
             )
         self.clock.at(due, do)
 
+    def quiet(self, number: int, name: str, way: str) -> None:
+        """A link that is still cut is ended, as a director does with one that brings no echo: its legs are
+        lost, and what was held never comes."""
+        if self.book.held("cache" if self.sites[name].kind == BOX else "parent", number, name, way):
+            for leg, director in list(self.out[name].items()):
+                if director.number == number:
+                    self.lost(director, leg, name, Outcome.RESET)
+
     def send(self, director: Modelled, leg: Leg, name: str, fields: dict[str, str]) -> None:
         self.out[name][leg] = director
         kind = "cache" if self.sites[name].kind == BOX else "parent"
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -223,7 +223,7 @@
                     if isinstance(held, Leg):
                         self.of_leg.pop(held, None)
                 if isinstance(held, Probe):
-                    self.facade.told(held.node, told.load)
+                    self.facade.told(held.node, told.load, told.well)
                 elif held is not None:  # a probe's word on a leg is an error of the node
                     outcome = Outcome.ERROR if told.outcome is None else told.outcome
                     self._report(held, outcome, told.note, told.waited, told.load, told)
--- a/mulleinrelay/net/resp.py
+++ b/mulleinrelay/net/resp.py
@@ -107,6 +107,7 @@
     note: Note = Note.NONE
     waited: float = 0.0
     load: dict[str, float] | None = None
+    well: bool = True  # of a probe: whether the node calls itself fit
 
 
 def read_told(items: list[memoryview], report_words: dict[str, str]) -> Told:
@@ -118,7 +119,7 @@
         raise RespError(f"an unknown word {word[:16]!r}")
     try:
         told = Told(str(items[0], "ascii"), outcome, items[3] if len(items) > 3 else items[2][:0],
-                    word == b"KEEP")
+                    word == b"KEEP", well=WELL.get(word, True))
         fields = str(items[2], "ascii")
         for pair in fields.split(",") if fields not in ("-", "") else ():
             name, _, value = pair.partition("=")
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -13,11 +13,13 @@
 
 from .interface import (EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, Purse, State, Terms,
                         Writer)
+from .spread.watching import Watch
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
 TRIAL_EARNED, TRIALS_MOST = 0.05, 2.0  # trials each lookup earns, so that hundreds of directors swamp nothing
 ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
+LATE_MOST = 300.0  # percent: one answer that a pause held up keeps a cache from its share for seconds less
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL, HALF_BEHIND = 2000.0, 16000.0, 4000.0  # halving times: delay, usual, origin's delay
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
@@ -33,7 +35,7 @@
 AGAIN_EARNED, AGAIN_MOST, ERRORS_MOST = 0.15, 8.0, 2  # legs a lookup earns, saved at most; errors it may have
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
-PROBE_EVERY = 500.0  # where reports come to probes only, one cache is asked so often; each has a price
+UNREACHED = ("silent", "unconnected", "reset")  # what an echo disproves
 ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
 CALM = 1.2  # slowed by less than this, within the noise of coarse bins, a cache or link takes all that fits
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
@@ -87,7 +89,7 @@
         self.health = Histogram(HALF_USUAL)  # bin 0: good outcomes, bin 1: bad ones
         self.late = Histogram(HALF_RECENT)  # hits: time beyond their sending time, in percent of it
         self.heard, self.quiet, self.lost = 0.0, 0.0, 0.0  # last word, signs of silence since, last break
-        self.shunned, self.trial_due = False, 0.0
+        self.shunned, self.unreached, self.trial_due = False, False, 0.0  # unreached: shunned for silence
         self.out: dict[Leg, None] = {}
         self.spent: list[tuple[float, float]] = []  # what this director sent it while cold
 
@@ -109,6 +111,7 @@
 class Director:
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
+        self.watch = Watch(now, self.random, terms.asks_reports)
         self.members: dict[Member, None] = {}  # all that are listed
         self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
         self.counts: dict[tuple[int, int], int] = {}
@@ -117,7 +120,7 @@
         self.beliefs: dict[tuple[int, int], dict[Member, float]] = {}
         self.purges: dict[tuple[str, int], float] = {}  # moment of the last purge of an object or a group
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
-        self.subscribed, self.probe_due = not terms.must_subscribe, now
+        self.subscribed = not terms.must_subscribe
         self.admit = ADMIT_MANY + ADMIT_ALONE / math.sqrt(terms.directors_here)
         self.purse = Purse(AGAIN_MOST)  # further legs that may go now, where no pool brings its own
         self.trials = self.random.random()  # trials that may go now; directors start apart
@@ -134,9 +137,8 @@
             out.subscribe()
         for method, arguments in inbox:
             getattr(self, method)(*arguments)
-        if self.terms.asks_reports and self.terms.may_probe and self.caches and now >= self.probe_due:
-            self.probe_due = now + PROBE_EVERY
-            out.probe(self.random.choice(self.caches))
+        for member in self.watch.due(now, self.caches) if self.terms.may_probe else ():
+            out.probe(member)
 
     def listed(self, rows: list[tuple[Any, ...]], whole: bool, broken: bool) -> None:
         if broken:
@@ -152,6 +154,7 @@
             self.members[member] = None
         self.members = {member: None for member in self.members if member.state != State.GONE or member.out}
         ready = [member for member in self.members if member.state == State.READY]
+        self.watch.only([member for member in ready if member.shunned])  # not what has gone or starts anew
         kinds = (self.terms.parent_kind, self.terms.origin_kind)
         self.caches = [m for m in ready if m.kind not in kinds and m.zone == self.terms.zone]
         self.parents = [m for m in ready if m.kind == self.terms.parent_kind]
@@ -163,6 +166,7 @@
         spot = (lookup.key, lookup.part)
         self.counts[spot] = self.counts.get(spot, 0) + 1
         self.total += 1
+        self.watch.looked_up()
         purse = lookup.pool.purse if lookup.pool else self.purse
         purse.again = min(AGAIN_MOST, purse.again + AGAIN_EARNED)
         self.trials = min(TRIALS_MOST, self.trials + TRIAL_EARNED)
@@ -178,7 +182,7 @@
                  load: dict[str, float] | None) -> None:
         lookup, leg.outcome = leg.lookup, outcome
         leg.node.out.pop(leg, None)
-        self.told(leg.node, load)
+        self.note_load(leg.node, load)
         self.learn(leg, wait, note, first_byte)
         if closed:
             self.end(lookup)
@@ -192,7 +196,15 @@
         elif about.outcome is None and not about.lookup.ended:
             self.check(about)
 
-    def told(self, member: Member, load: dict[str, float] | None) -> None:
+    def told(self, member: Member, load: dict[str, float] | None, well: bool = True) -> None:
+        """What a probe brought; an answer disproves that the member is not reached."""
+        self.note_load(member, load)
+        if well and member.shunned and member.unreached:
+            member.health.bins[1] = 0.0
+            member.quiet = member.quiet or QUIET_MOST
+            self.sign_of_life(member)
+
+    def note_load(self, member: Member, load: dict[str, float] | None) -> None:
         if load and member in self.caches and "crowding" in load:
             self.link, self.link_told = load["crowding"], self.now
 
@@ -311,7 +323,10 @@
         ranked = self.by_hash([cache for cache in caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, self.work(lookup))
         hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
-        first = sorted(islice(fit, 1 + int(self.count(lookup) / hot)), key=self.crowd)
+        first = list(islice(fit, 1 + int(self.count(lookup) / hot)))
+        if len(first) > 1:  # among equals each director takes its own, or all would take the first
+            self.random.shuffle(first)
+            first.sort(key=self.crowd)
         return next((member for member in chain(first, fit) if self.crowd(member) <= most), None)
 
     def crowd(self, member: Member) -> float:
@@ -512,7 +527,8 @@
                 self.blame(other, "error")  # only now: what no node can give is the client's fault
             work = self.work(leg.lookup)
             if note == Note.HIT:
-                node.late.add(self.now, 100.0 * (wait - work) / max(work, LEAST_WORK))
+                late = 100.0 * (wait - work) / max(work, LEAST_WORK)
+                node.late.add(self.now, min(late, LATE_MOST))
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
                 self.beliefs.setdefault(spot, {})[node] = self.now
             if source not in (None, node) and note in (Note.FILLED, Note.FILLED_BY_ORIGIN):
@@ -573,5 +589,11 @@
         sick = member.quiet >= QUIET_MOST or (bad >= SICK_LEAST and bad > SICK_SHARE * (good + bad))
         if sick != member.shunned:
             member.shunned, member.trial_due = sick, self.now + TRIAL_EVERY
+            member.unreached = sick and why in UNREACHED
+            if member.unreached:
+                sharers = self.terms.directors if member in self.parents else self.terms.directors_here
+                self.watch.doubts(member, self.now, sharers)
+            else:
+                self.watch.heard(member)
             word = f"shunned ({why})" if sick else "taken back"
             self.out.log(f"{member.key:x} {word}: {bad:.1f} bad, {good:.1f} good, silence {member.quiet:.1f}")
--- a/mulleinrelay/wirehost.py
+++ b/mulleinrelay/wirehost.py
@@ -79,8 +79,8 @@
                 for cell, kind, share, address, state, started, zone in banks[bank]]
             call(("listed", (rows, how != DELTA, how == FAILED_LIST)))
         elif code == wire.PONG:
-            address, _, _, count, *values = fields
-            call(("told", (self.node(address), self.load(count, tuple(values)))))
+            address, status, _, count, *values = fields
+            call(("told", (self.node(address), self.load(count, tuple(values)), status == 0)))
         elif code == wire.STRUCK_OUT:
             call(("purged", (fields[0], fields[1], fields[2])))
         elif code == wire.OPENED:
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -248,7 +248,11 @@
 
 def test_a_probe_is_handed_out_and_its_report_handed_in():
     stage = Stage(report={"how": "probe", "columns": ["x1"]})
-    _, probes, _ = stage.facade.tick()
+    probes = []
+    while not probes:  # reports are earned by lookups
+        stage.now += 100.0
+        stage.take()
+        _, probes, _ = stage.facade.tick()
     ((node, place),) = probes
     assert place is stage.facade.places[node]
     stage.facade.told(node, {"crowding": 2.5})
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -331,3 +331,56 @@
     before = [fleet.director.delay(parent) for parent in fleet.parents]
     warm_up(fleet, 40, Note.FILLED_BY_ORIGIN, 900.0)
     assert [fleet.director.delay(parent) for parent in fleet.parents] == before
+
+
+@pytest.mark.parametrize("outcome, well, taken_back", [
+    (Outcome.UNCONNECTED, True, True),
+    (Outcome.UNCONNECTED, False, False),
+    (Outcome.ERROR, True, False),  # it was reached all the while
+])
+def test_an_echo_disproves_that_a_cache_is_not_reached_and_nothing_else(outcome, well, taken_back):
+    fleet = Fleet(may_probe=True)
+    sick = fleet.look_up(key=77).legs[0].node
+    while not sick.shunned:
+        fleet.director.mark(sick, 2.0, outcome.name.lower())
+    probed = []
+    for _ in range(40):  # any round asks whom it is time to ask
+        fleet.look_up()
+        probed += fleet.out.take("probe")
+        fleet.now += 50.0
+    assert ((sick,) in probed) is (outcome is Outcome.UNCONNECTED)
+    fleet.call("told", sick, None, well)
+    assert sick.shunned is not taken_back
+
+
+def test_who_has_gone_or_starts_anew_is_asked_for_no_echo():
+    fleet = Fleet(may_probe=True)
+    sick = fleet.caches[0]
+    fleet.director.mark(sick, 4.0, "reset")
+    fleet.call("listed", [fleet.row(sick, CACHE, 1, state=State.GONE)], False, False)
+    for _ in range(40):
+        fleet.look_up(after=50.0)
+    assert fleet.out.take("probe") == []
+
+
+def test_a_hot_object_goes_to_other_caches_first_at_other_directors():
+    firsts = set()
+    for seed in range(12):
+        fleet = Fleet()
+        fleet.director.random.seed(seed)
+        for _ in range(30):
+            lookup = fleet.look_up(key=77)
+            fleet.answer(lookup.legs[0], after=100.0)
+        firsts.add(lookup.legs[0].node.key)
+    assert len(firsts) == 3
+
+
+@pytest.mark.parametrize("wait, seconds", [(60_000.0, 6.0), (100.0, 0.0)])
+def test_one_answer_that_a_pause_held_up_keeps_no_cache_from_its_share_for_long(wait, seconds):
+    fleet = Fleet()
+    lookup = fleet.look_up(key=77)
+    node = lookup.legs[0].node
+    fleet.now += wait
+    fleet.call("answered", lookup.legs[0], Outcome.SATISFIED, wait, True, Note.HIT, 0.0, None)
+    back = next(step for step in range(100) if fleet.look_up(key=77, after=250.0).legs[0].node is node)
+    assert 0.25 * back <= seconds
