Lookups pass by caches that nobody reaches; a parent's rise shows in fewer readings

Cause: while a location is cut off, the list says nothing and all lookups there are pushed back (lab, west 12 to 18 s: 0 to 50 of 100 satisfied a second), as lookups pass by only where no cache is listed ready (policy.py, route). A parent that is 160 ms slower kept 0.11 to 0.13 of the fills in place of 0.17 (model, 200 directors), as one whole usual reading was put in beside the 0.5 to 1 recent ones of a director (rise). Change: where echoes can bring caches back, lookups pass by a location whose caches are all shunned for silence; 0.4 of a usual reading is put in; one hit's lateness counts up to 1000%, none from a node that was not reached when it came.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -19,9 +19,10 @@
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
 TRIAL_EARNED, TRIALS_MOST = 0.05, 2.0  # trials each lookup earns, so that hundreds of directors swamp nothing
 ORIGIN_TRIAL = 0.0125  # share of lookups: the origin is passed over by rule and its bytes are priced
-LATE_MOST = 300.0  # percent: one answer that a pause held up keeps a cache from its share for seconds less
+LATE_MOST = 1000.0  # percent: one answer that a pause held up keeps a cache from its share for less long
 LEAST_WORK = 50.0  # how late a hit is, is counted in its sending time, or in this where that is shorter
 HALF_RECENT, HALF_USUAL, HALF_BEHIND = 2000.0, 16000.0, 4000.0  # halving times: delay, usual, origin's delay
+USUAL_PUT_IN = 0.4  # weight of one usual reading beside the few recent ones of a parent
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
@@ -226,10 +227,12 @@
                 return self.give_up(lookup)
             purse.again -= cost
         write, pass_by = lookup.use_case.never_kept, self.terms.may_pass_by
-        cache = None if write and pass_by else self.choose_cache(lookup)
+        # Seen before the list tells, if it ever does; echoes bring the caches back.
+        lost = self.terms.may_probe and all(cache.unreached for cache in self.caches)
+        cache = None if (write or lost) and pass_by else self.choose_cache(lookup)
         if cache is None:
             source = self.origin if write else self.choose_source(lookup, None)[0]
-            if source is None or not pass_by or (self.caches and not write):
+            if source is None or not pass_by or (self.caches and not write and not lost):
                 return self.give_up(lookup)
             return self.send(lookup, source, source, False)
         source, held_only = (self.origin, False) if write else self.choose_source(lookup, cache)
@@ -417,9 +420,9 @@
         return first or self.origin
 
     def rise(self, parent: Member) -> float:
-        """How far its delay has risen above its usual level, one usual reading put in as few are known."""
+        """How far its delay has risen above its usual level, part of a usual reading put in."""
         (total, number), usual = parent.recent.sums(self.now), parent.usual.mean(self.now)
-        return 0.0 if usual is None else (total - number * usual) / (number + 1.0)
+        return 0.0 if usual is None else (total - number * usual) / (number + USUAL_PUT_IN)
 
     def doubts_source(self, leg: Leg) -> bool:
         """Whether a leg that went wrong may have done so by its source, which is then not named again."""
@@ -518,7 +521,7 @@
     def learn(self, leg: Leg, wait: float, note: Note, first_byte: float) -> None:
         outcome, node, source = leg.outcome, leg.node, leg.source
         spot = (leg.lookup.key, leg.lookup.part)
-        held = self.beliefs.get(spot, {})
+        held, unreached = self.beliefs.get(spot, {}), node.unreached
         if outcome in (Outcome.SATISFIED, Outcome.MISS, Outcome.TURNED_AWAY, Outcome.ERROR):
             self.sign_of_life(node)
         if outcome == Outcome.SATISFIED:
@@ -526,7 +529,7 @@
             for other in [other for other in leg.lookup.legs if other.outcome == Outcome.ERROR]:
                 self.blame(other, "error")  # only now: what no node can give is the client's fault
             work = self.work(leg.lookup)
-            if note == Note.HIT:
+            if note == Note.HIT and not unreached:  # what a cut held up tells nothing of crowding
                 late = 100.0 * (wait - work) / max(work, LEAST_WORK)
                 node.late.add(self.now, min(late, LATE_MOST))
             if node in self.caches and (self.rank(leg.lookup) or note == Note.HIT):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -384,3 +384,24 @@
     fleet.call("answered", lookup.legs[0], Outcome.SATISFIED, wait, True, Note.HIT, 0.0, None)
     back = next(step for step in range(100) if fleet.look_up(key=77, after=250.0).legs[0].node is node)
     assert 0.25 * back <= seconds
+
+
+@pytest.mark.parametrize("may_probe, may_pass_by, whose", [(True, True, PARENT), (False, True, CACHE),
+                                                          (True, False, CACHE)])
+def test_where_no_cache_is_reached_parents_are_asked_until_an_echo_comes(may_probe, may_pass_by, whose):
+    fleet = Fleet(may_probe=may_probe, may_pass_by=may_pass_by)
+    for cache in fleet.caches:
+        fleet.director.mark(cache, 4.0, "reset")
+    assert {fleet.look_up().legs[0].node.kind for _ in range(8)} == {whose}
+    fleet.call("told", fleet.caches[1], None, True)
+    assert {fleet.look_up().legs[0].node for _ in range(8)} == {fleet.caches[1]}
+
+
+def test_a_hit_that_a_cut_held_up_tells_nothing_of_crowding():
+    fleet = Fleet()
+    lookup = fleet.look_up(key=77)
+    node = lookup.legs[0].node
+    fleet.director.mark(node, 4.0, "reset")
+    fleet.now += 5000.0
+    fleet.call("answered", lookup.legs[0], Outcome.SATISFIED, 5000.0, True, Note.HIT, 0.0, None)
+    assert fleet.director.crowd(node) == 1.0
