--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -9,11 +9,9 @@
 import statistics
 import subprocess
 import sys
-import tarfile
 import tempfile
 import time
 from dataclasses import replace
-from io import BytesIO
 
 import click
 
@@ -24,8 +22,9 @@
 from mulleinrelay.lab.play import Lab
 from mulleinrelay.lab.scenario import read_scenario
 
+from .versions import ROOT, unpack
+
 BEFORE = "b88d23d"  # the version without cells
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TURNS, LOOKUPS = 60, 100
 
 FLOOD = """
@@ -175,16 +174,11 @@
 
 
 def before(folder: str) -> str | None:
-    """The version without cells, out of the repository's own history; None where that isn't at hand."""
+    """The package as it was before cells; None where the history is not at hand."""
     try:
-        held = subprocess.run(
-            ["git", "archive", BEFORE, "mulleinrelay"], cwd=ROOT, capture_output=True, check=True
-        )
+        return unpack(BEFORE, folder)
     except (OSError, subprocess.CalledProcessError):
         return None
-    with tarfile.open(fileobj=BytesIO(held.stdout)) as archive:
-        archive.extractall(folder, filter="data")
-    return folder
 
 
 def costs(folder: str) -> dict:
--- a/mulleinrelay/lab/fleet/audit.py
+++ b/mulleinrelay/lab/fleet/audit.py
@@ -82,10 +82,9 @@
                     if begins
                     else at + (warm if what in ("node_kill", "node_cold", "node_silent") else AFTER_FAULT)
                 )
-        fell = [held[0] for held in self.heard.others["fell"] if held[1] == name]
-        if fell:
-            spans, since = [(first, min(last, fell[0])) for first, last in spans if first < fell[0]], 1e9
-        return [*spans, (since, 1e9)] if since < 1e9 else spans
+        spans += [(since, 1e9)] if since < 1e9 else []
+        fell = min((held[0] for held in self.heard.others["fell"] if held[1] == name), default=1e9)
+        return [(first, min(last, fell)) for first, last in spans if first < fell]
 
     def fault_seconds(self) -> set[int]:
         """Seconds within a fault or AFTER_FAULT after its begin or its end."""
@@ -190,6 +189,15 @@
                 most = max(most, here[name])
         return float(most)
 
+    def probes_together(self) -> float:
+        """Of a location's probes in half a second, the share that meets one cache, the mean."""
+        asked = [
+            (held[0], held[2])
+            for held in self.heard.others["probe"]
+            if held[2] in self.boxes and held[0] >= self.scenario.warm
+        ]
+        return evenness.together(asked, self.boxes)
+
     def credit(self) -> float:
         """Credit of lookups satisfied within their goal over all that was asked for, after the warm-up."""
         asked = earned = 0.0
@@ -226,6 +234,7 @@
             "return_s_p99": self.returns(loads),
             "parent_swing": self.parent_swing(),
             "probes_a_cache": self.growth("probes"),
+            "probes_together": round(self.probes_together(), 3),
             "connections_a_cache": self.growth("connections"),
             "first_legs": len(sent),
             "legs": len(self.heard.legs),
--- a/mulleinrelay/lab/fleet/evenness.py
+++ b/mulleinrelay/lab/fleet/evenness.py
@@ -207,3 +207,15 @@
             if slot < len(edges):
                 found[place[name]][slot] += 1
     return names, found
+
+
+def together(
+    asked: list[tuple[float, str]], boxes: dict[str, Box], width: float = 0.5, least: int = 6
+) -> float:
+    """Of questions (s, cache) in one slot of time and location, the share that meets one cache: the mean over
+    slots with `least` or more. One over the location's caches is even; 1 is a herd."""
+    slots: dict[tuple[int, str], Counter] = defaultdict(Counter)
+    for at, name in asked:
+        slots[int(at / width), boxes[name].location][name] += 1
+    shares = [max(held.values()) / held.total() for held in slots.values() if held.total() >= least]
+    return sum(shares) / len(shares) if shares else 0.0
--- a/tests/lab/test_evenness.py
+++ b/tests/lab/test_evenness.py
@@ -88,3 +88,11 @@
         [(0.05, "b"), (0.31, "a"), (0.39, "a"), (-1.0, "a"), (0.5, "a")], 0.1, 0.5
     )
     assert names == ["a", "b"] and counts == [[0, 0, 0, 2, 0], [1, 0, 0, 0, 0]]
+
+
+@pytest.mark.parametrize(
+    "names, share", [("c0 c0 c0 c0 c0 c0", 1.0), ("c0 c1 c2 c0 c1 c2", 1 / 3), ("c0 c0 c0", 0.0)]
+)
+def test_questions_that_meet_one_cache_at_one_time(names, share):
+    asked = [(0.1, name) for name in names.split()]
+    assert evenness.together(asked, boxes(1.0, 1.0, 1.0)) == pytest.approx(share)
--- /dev/null
+++ b/tests/lab/test_model.py
@@ -0,0 +1,79 @@
+"""The model on the scenarios of the lab: same plan, same audit, and what rests on simulated time alone."""
+
+import pytest
+
+from mulleinrelay.cells.charter import CharterError
+from mulleinrelay.lab.fleet.plan import read_fleet
+from mulleinrelay.model.world import play
+
+SMALL = """
+[fleet lab]
+seconds = 16
+warm_s = 3
+seed = 4
+[directors]
+count = 30
+[nodes]
+locations = north south
+caches = 4
+[load]
+rate = 120
+objects = 300
+"""
+RULES = (
+    "rules_broken",
+    "lookups_lost",
+    "answers_twice",
+    "orders_run_twice",
+    "drains_broken",
+    "purges_broken",
+    "fell",
+)
+
+
+@pytest.mark.parametrize(
+    "fault, outcomes",
+    [
+        ("", {"satisfied"}),
+        ("what = cut\nlocation = north\nfor = 4\n", {"satisfied", "pushed back"}),
+        ("what = reset\nshare = 0.5\nfor = 4\n", {"satisfied", "pushed back"}),
+        ("what = node_cold\nshare = 0.25\nfor = 3\n", {"satisfied", "pushed back"}),
+        ("what = node_silent\nshare = 0.25\nfor = 3\n", {"satisfied", "pushed back"}),
+        ("what = node_errors\nshare = 0.25\nseen_by = 0.5\nfor = 3\n", {"satisfied", "pushed back"}),
+        ("what = node_slow\nshare = 0.25\nseen_by = 0.5\nfor = 3\n", {"satisfied", "pushed back"}),
+        ("what = drain\nshare = 0.25\n", {"satisfied", "pushed back"}),
+        ("what = purge\n", {"satisfied", "pushed back"}),
+        ("what = late_list\nshare = 0.5\nfor = 3\n", {"satisfied"}),
+        (
+            "what = kill\nshare = 0.7\nfor = 3\n",
+            {"satisfied", "pushed back", "cut off", "nobody", "no answer"},
+        ),
+        ("what = restart\nover = 3\n", {"satisfied", "pushed back", "broken off", "cut off"}),
+        (
+            "what = stop\nshare = 0.2\nfor = 3\n",
+            {"satisfied", "pushed back", "broken off", "no answer", "nobody"},
+        ),
+    ],
+)
+def test_the_rules_hold_in_the_model_through_each_fault(fault, outcomes):
+    text = SMALL + ("[fault f]\nat = 6\n" + fault if fault else "")
+    figures = play(read_fleet(text))
+    assert {rule: figures[rule] for rule in RULES} == dict.fromkeys(RULES, 0)
+    assert figures["lookups"] > 1500 and set(figures["outcomes"]) <= outcomes
+    assert figures["outcomes"]["satisfied"] > 0.6 * figures["lookups"]
+
+
+def test_the_same_seed_plays_the_same():
+    first, again = (play(read_fleet(SMALL)) for _ in range(2))
+    assert first == again != play(read_fleet(SMALL.replace("seed = 4", "seed = 5")))
+
+
+@pytest.mark.parametrize("directors", [0, 5001])
+def test_so_many_directors_are_refused(directors):
+    with pytest.raises(CharterError, match="count"):
+        play(read_fleet(SMALL), directors)
+
+
+def test_a_fleet_larger_than_the_lab_is_played():
+    figures = play(read_fleet(SMALL.replace("seconds = 16", "seconds = 5")), 1000)
+    assert figures["directors"] == 1000 and figures["outcomes"]["satisfied"] > 0.95 * figures["lookups"]
--- /dev/null
+++ b/tests/lab/test_planted.py
@@ -0,0 +1,62 @@
+"""A herd that is planted in the program must be found by the audit, from the other side."""
+
+import os
+import shutil
+
+import pytest
+
+from mulleinrelay.lab.fleet.audit import Audit, read
+from mulleinrelay.lab.fleet.channel import ROOT
+from mulleinrelay.lab.fleet.plan import read_fleet
+from mulleinrelay.lab.fleet.play import FleetLab
+
+SMALL = """
+[fleet lab]
+seconds = 9
+warm_s = 2
+seed = 2
+[directors]
+count = 24
+uneven = 0
+probes = yes
+[nodes]
+locations = north
+caches = 6
+large_share = 0
+capacity = 120
+[load]
+rate = 160
+objects = 400
+late_ms = 5000
+"""
+IN_STEP = ("spread/watching.py", "self.random.choice(listed)", "listed[int(now / 500.0) % len(listed)]")
+ONE_CLOCK = ("policy.py", "(mix(*what, member.key) + 1)", "(mix(int(self.now / 3000.0), member.key) + 1)")
+
+
+def played(tmp_path, plant=None):
+    program = ROOT
+    if plant is not None:
+        program = str(tmp_path / "program")
+        shutil.copytree(os.path.join(ROOT, "mulleinrelay"), os.path.join(program, "mulleinrelay"))
+        path = os.path.join(program, "mulleinrelay", plant[0])
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        assert text.count(plant[1]) == 1
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text.replace(plant[1], plant[2]))
+    text = SMALL.replace("[directors]", "[directors]\none_seed = yes") if plant else SMALL
+    scenario = read_fleet(text)
+    lab = FleetLab(scenario, text, str(tmp_path / "play"), program)
+    return Audit(scenario, read(lab.run())).figures()
+
+
+@pytest.mark.parametrize(
+    "plant, herd, idle, probes",
+    [(None, False, False, False), (IN_STEP, False, False, True), (ONE_CLOCK, True, True, False)],
+)
+def test_a_planted_herd_is_found_and_none_where_there_is_none(plant, herd, idle, probes, tmp_path):
+    figures = played(tmp_path, plant)
+    assert (figures["herd_seconds_calm"] > 3) is herd
+    assert (figures["idle_s_max"] > 2) is idle
+    assert (figures["probes_together"] > 0.6) is probes
+    assert figures["rules_broken"] == 0
