Fair shares, start settings and rules of faults reckoned in one place each; limits told

Need: the lab and the model worded the same start settings and rules of faults, and three figures reckoned fair shares each for itself; the lab's bound of 400 processes kept the model from 2,000.

--- a/mulleinrelay/lab/commands.py
+++ b/mulleinrelay/lab/commands.py
@@ -95,13 +95,13 @@
     from .fleet.plan import read_fleet
 
     scenario = read_fleet(text)
-    if directors is not None and not model:
+    if directors is not None:
         scenario = scenario.sized(directors)
     shown = None if quiet or as_json else watch
     if model:
         from ..model.world import play as play_model
 
-        found = play_model(scenario, directors, shown)
+        found = play_model(scenario, shown)
         return tell(found, as_json)
     from .fleet.audit import Audit, read
     from .fleet.play import FleetLab
--- a/mulleinrelay/lab/fleet/evenness.py
+++ b/mulleinrelay/lab/fleet/evenness.py
@@ -52,17 +52,29 @@
 
 
 def ratios(loads: dict[int, Counter], boxes: dict[str, Box], seconds: Iterable[int]) -> list[float]:
-    """Load over fair share, by cache and second, for caches that are well; a location's load is shared out
-    among those."""
-    found = []
-    for second in seconds:
-        for held in well_by_location(boxes, second).values():
-            total = sum(loads[second][box.name] for box in held) if second in loads else 0
-            capacity = sum(box.capacity for box in held)
-            for box in held:
-                fair = total * box.capacity / capacity
-                if fair >= LEAST_FAIR:
-                    found.append(loads[second][box.name] / fair)
+    """Load over fair share, by cache and second, for caches that are well."""
+    return [
+        ratio
+        for second in seconds
+        for held in parts(loads, boxes, second).values()
+        for ratio in held.values()
+        if ratio is not None
+    ]
+
+
+def parts(
+    loads: dict[int, Counter], boxes: dict[str, Box], second: int
+) -> dict[str, dict[str, float | None]]:
+    """By location and well cache its load over its fair share; None where too few lookups came to tell. A
+    location's load is shared out among its well caches."""
+    found = {}
+    for place, held in well_by_location(boxes, second).items():
+        total = sum(loads[second][box.name] for box in held) if second in loads else 0
+        capacity = sum(box.capacity for box in held)
+        fair = {box.name: total * box.capacity / capacity for box in held}
+        found[place] = {
+            name: loads[second][name] / due if due >= LEAST_FAIR else None for name, due in fair.items()
+        }
     return found
 
 
@@ -116,15 +128,9 @@
     """Seconds in which a cache has over twice its share while a peer of its location is under half."""
     found = []
     for second in seconds:
-        for held in well_by_location(boxes, second).values():
-            total = sum(loads[second][box.name] for box in held) if second in loads else 0
-            capacity = sum(box.capacity for box in held)
-            parts = [
-                loads[second][box.name] * capacity / (total * box.capacity)
-                for box in held
-                if total * box.capacity / capacity >= LEAST_FAIR
-            ]
-            if parts and max(parts) > TWICE and min(parts) < HALF:
+        for held in parts(loads, boxes, second).values():
+            known = [ratio for ratio in held.values() if ratio is not None]
+            if known and max(known) > TWICE and min(known) < HALF:
                 found.append(second)
                 break
     return found
@@ -135,17 +141,11 @@
     runs: Counter = Counter()
     longest: dict[str, int] = dict.fromkeys(boxes, 0)
     for second in seconds:
-        for held in well_by_location(boxes, second).values():
-            total = sum(loads[second][box.name] for box in held) if second in loads else 0
-            capacity = sum(box.capacity for box in held)
-            for box in held:
-                fair = total * box.capacity / capacity
-                idle = fair >= LEAST_FAIR and loads[second][box.name] < FIFTH * fair
-                runs[box.name] = runs[box.name] + 1 if idle else 0
-                longest[box.name] = max(longest[box.name], runs[box.name])
-        for name, box in boxes.items():
-            if not box.well_in(second):
-                runs[name] = 0
+        well = {name: ratio for held in parts(loads, boxes, second).values() for name, ratio in held.items()}
+        for name in boxes:
+            ratio = well.get(name)
+            runs[name] = runs[name] + 1 if ratio is not None and ratio < FIFTH else 0
+            longest[name] = max(longest[name], runs[name])
     return longest
 
 
--- a/mulleinrelay/lab/fleet/paths.py
+++ b/mulleinrelay/lab/fleet/paths.py
@@ -8,6 +8,8 @@
 import random
 from dataclasses import dataclass, field
 
+from .plan import Strike
+
 REPEAT_AFTER = 200.0  # ms until lost bytes of a TCP connection come again
 UP, DOWN = "up", "down"  # from the director; to the director
 NEVER = float("inf")
@@ -103,6 +105,26 @@
         return [at + place * draw.random() * 20.0 for place in range(copies)]
 
 
+def rule_for(strike: Strike) -> Rule:
+    """What a fault on paths is to the relays."""
+    fault = strike.fault
+    loss = (fault.by or 0.1) if fault.what == "loss" else 0.0
+    return Rule(
+        fault.paths,
+        frozenset(strike.directors),
+        frozenset(strike.nodes),
+        fault.way,
+        cut=fault.what == "cut",
+        reset=fault.what == "reset",
+        delay=(fault.by or 100.0) if fault.what == "delay" else 0.0,
+        jitter=fault.jitter,
+        loss=loss,
+        doubled=loss,
+        overtaken=loss,
+        rate=1000.0 * (fault.by or 1.0) if fault.what == "trickle" else 0.0,
+    )
+
+
 def rule_of(held: dict) -> Rule:
     """From its words on a relay's line."""
     return Rule(
--- a/mulleinrelay/lab/fleet/plan.py
+++ b/mulleinrelay/lab/fleet/plan.py
@@ -11,7 +11,8 @@
 from ...cells.charter import CharterError
 from ...cells.reading import Keys, sections
 
-DIRECTORS_MOST, CACHES_MOST = 400, 400  # processes here; the model plays more
+DIRECTORS_MOST, CACHES_MOST = 5_000, 2_000  # in simulated time
+PROCESSES_MOST, NODES_MOST = 400, 400  # directors and caches of a lab on sockets
 # What strikes a path between processes, and what strikes a process or a node
 ON_PATHS = ("cut", "reset", "delay", "loss", "trickle")
 ON_DIRECTORS = ("stop", "kill", "restart")
@@ -219,6 +220,17 @@
             raise CharterError(f"[directors] count: 1 to {DIRECTORS_MOST} is wanted, not {directors}")
         return replace(self, directors=directors)
 
+    def on_sockets(self) -> "Scenario":
+        """Itself, where a lab on sockets can play it. Raises CharterError."""
+        caches = self.caches * len(self.locations)
+        for key, count, most in (
+            ("[directors] count", self.directors, PROCESSES_MOST),
+            ("[nodes] caches", caches, NODES_MOST),
+        ):
+            if count > most:
+                raise CharterError(f"{key}: {count} are more than the {most} that sockets play; see --model")
+        return self
+
 
 def read_fleet(text: str) -> Scenario:
     """Raises CharterError, whose text names the key."""
--- a/mulleinrelay/lab/fleet/play.py
+++ b/mulleinrelay/lab/fleet/play.py
@@ -16,11 +16,11 @@
 import orjson
 
 from ...standins.loop import now_ms
-from ..start import settings
+from ..start import settings_at
 from . import addresses
 from .channel import ROOT, Helper, Records, last_line
-from .paths import Rule, held_of
-from .plan import ON_NODES, ON_PATHS, Fault, Scenario, Strike
+from .paths import Rule, held_of, rule_for
+from .plan import ON_NODES, ON_PATHS, Scenario, Strike
 
 READY_WITHIN = 60.0  # s
 AT_ONCE = 24  # processes that start at the same time
@@ -106,8 +106,8 @@
 
     def __init__(self, scenario: Scenario, text: str, folder: str | None = None, program: str = ROOT) -> None:
         """`text`: the scenario's file, which the lab's processes read again. `program`: the folder that holds
-        the package that the directors run, so that earlier versions can be played."""
-        self.scenario, self.text, self.program = scenario, text, program
+        the package that the directors run, so that earlier versions can be played. Raises CharterError."""
+        self.scenario, self.text, self.program = scenario.on_sockets(), text, program
         self.kept = folder is not None
         self.folder = folder or tempfile.mkdtemp(prefix="mulleinrelay-fleet-")
         os.makedirs(self.folder, exist_ok=True)
@@ -211,8 +211,7 @@
 
     def _start_directors(self, stream_port: int) -> None:
         scenario = self.scenario
-        places = scenario.places()
-        counts = [len(scenario.here(place)) if place in scenario.locations else 0 for place in places]
+        by_location = {place: settings_at(scenario, place) for place in scenario.locations}
         for number in range(scenario.directors):
             director = Director(self, number)
             self.directors.append(director)
@@ -225,19 +224,7 @@
                 "bus": f"{addresses.far(number)}:{stream_port}",
                 "limits": {"memory_mb": scenario.memory_mb, "sockets": scenario.sockets},
                 "known": {"offset": 1, "batch": [words]},
-                "settings": settings(
-                    places,
-                    places.index(scenario.location_of(number)),
-                    counts,
-                    scenario.cold_from,
-                    scenario.cold_ms,
-                    scenario.goal_ms,
-                    scenario.patience_ms,
-                    scenario.effects > 0.0,
-                    scenario.probes,
-                    scenario.parent_cold_ms,
-                    scenario.flow,
-                ),
+                "settings": by_location[scenario.location_of(number)],
             }
             with open(director.path, "wb") as file:
                 file.write(orjson.dumps(whole))
@@ -366,7 +353,7 @@
         fault = strike.fault
         if strike.what in ON_PATHS:
             if strike.begins:
-                running[strike.name] = self._rule(self.rule(fault, strike))
+                running[strike.name] = self._rule(rule_for(strike))
             else:
                 self._lift(running.pop(strike.name, []))
         elif strike.what == "late_list":
@@ -426,23 +413,6 @@
 
         self._thread(wait)
 
-    def rule(self, fault: Fault, strike: Strike) -> Rule:
-        rule = Rule(
-            fault.paths, frozenset(strike.directors), frozenset(strike.nodes), fault.way, jitter=fault.jitter
-        )
-        if fault.what == "cut":
-            rule.cut = True
-        elif fault.what == "reset":
-            rule.reset = True
-        elif fault.what == "delay":
-            rule.delay = fault.by or 100.0
-        elif fault.what == "loss":
-            rule.loss = fault.by or 0.1
-            rule.doubled = rule.overtaken = rule.loss
-        elif fault.what == "trickle":
-            rule.rate = 1000.0 * (fault.by or 1.0)
-        return rule
-
     def _rule(self, rule: Rule) -> list[int]:
         self.rules += 1
         for relay in self.relays:
--- a/mulleinrelay/lab/start.py
+++ b/mulleinrelay/lab/start.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..standins.fleet import BOX, ORIGIN, PARENT
+from .fleet.plan import Scenario
 
 
 def settings(
@@ -61,3 +62,22 @@
         "report": {"how": "probe" if probes else "none", "columns": ["util", "inflight"] if probes else []},
         "rules": {"coldFrom": cold_from, "cold": warm_in, "overloadFor": 1000.0},
     }
+
+
+def settings_at(scenario: Scenario, location: str) -> dict[str, Any]:
+    """Those of a fleet's director in that location."""
+    places = scenario.places()
+    counts = [len(scenario.here(place)) if place in scenario.locations else 0 for place in places]
+    return settings(
+        places,
+        places.index(location),
+        counts,
+        scenario.cold_from,
+        scenario.cold_ms,
+        scenario.goal_ms,
+        scenario.patience_ms,
+        scenario.effects > 0.0,
+        scenario.probes,
+        scenario.parent_cold_ms,
+        scenario.flow,
+    )
--- a/mulleinrelay/model/world.py
+++ b/mulleinrelay/model/world.py
@@ -8,24 +8,22 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
-from ..cells.charter import CharterError
 from ..configuration import Section, read_terms
 from ..interface import Leg, Outcome
 from ..lab.fleet.audit import Audit, Heard
 from ..lab.fleet.hosts import fields_of, fleet_of
 from ..lab.fleet.load import Demand, Wanted
-from ..lab.fleet.paths import DOWN, UP, Book, Lane, Rule
+from ..lab.fleet.paths import DOWN, UP, Book, Lane, rule_for
 from ..lab.fleet.plan import ON_NODES, ON_PATHS, Scenario, Strike
-from ..lab.start import settings
+from ..lab.start import settings_at
 from ..net.caches import ECHO_WAIT, QUIET
 from ..standins.fleet import BOX, ORIGIN, PARENT
 from .clock import Clock
 from .directors import Modelled
 
-DIRECTORS_MOST = 5_000
 CLIENT_MS, NODE_MS = 0.3, 0.5  # one way, as on loopback with the relay
 PAUSE = 100.0
 
@@ -66,27 +64,8 @@
         self.places = scenario.places()
         self.zone_of = {place: at for at, place in enumerate(self.places)}
         self.kinds = {BOX: 0, PARENT: 1, ORIGIN: 2}
-        here = {place: scenario.here(place) for place in scenario.locations}
         self.terms = {
-            place: read_terms(
-                Section(
-                    settings(
-                        self.places,
-                        self.zone_of[place],
-                        [len(here.get(each, ())) for each in self.places],
-                        scenario.cold_from,
-                        scenario.cold_ms,
-                        scenario.goal_ms,
-                        scenario.patience_ms,
-                        scenario.effects > 0.0,
-                        scenario.probes,
-                        scenario.parent_cold_ms,
-                        scenario.flow,
-                    ),
-                    "",
-                )
-            )
-            for place in scenario.locations
+            place: read_terms(Section(settings_at(scenario, place), "")) for place in scenario.locations
         }
         self.demands = {place: Demand(scenario, place) for place in scenario.locations}
         self.starts = self.count = 0
@@ -362,20 +341,9 @@
                 self._director(strike.what, number, begins)
 
     def _path(self, strike: Strike) -> None:
-        fault = strike.fault
         if strike.begins:
             self.rules[strike.name] = len(self.rules) + 1
-            self.book.rules[self.rules[strike.name]] = Rule(
-                fault.paths,
-                frozenset(strike.directors),
-                frozenset(strike.nodes),
-                fault.way,
-                cut=fault.what == "cut",
-                reset=fault.what == "reset",
-                jitter=fault.jitter,
-                delay=(fault.by or 100.0) if fault.what == "delay" else 0.0,
-                loss=(fault.by or 0.1) if fault.what == "loss" else 0.0,
-            )
+            self.book.rules[self.rules[strike.name]] = rule_for(strike)
             return
         self.book.rules.pop(self.rules[strike.name], None)
         held, self.held = self.held, []
@@ -462,12 +430,6 @@
         return self.heard
 
 
-def play(
-    scenario: Scenario, directors: int | None = None, live: Callable[[float, int, int], None] | None = None
-) -> dict[str, Any]:
-    """The figures of a play, by the lab's own audit. Raises CharterError."""
-    if directors is not None:
-        if not 1 <= directors <= DIRECTORS_MOST:
-            raise CharterError(f"[directors] count: 1 to {DIRECTORS_MOST} is wanted, not {directors}")
-        scenario = replace(scenario, directors=directors)
+def play(scenario: Scenario, live: Callable[[float, int, int], None] | None = None) -> dict[str, Any]:
+    """The figures of a play, by the lab's own audit."""
     return Audit(scenario, World(scenario).run(live)).figures()
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from mulleinrelay.cells.charter import CharterError
 from mulleinrelay.lab.fleet.plan import read_fleet
 from mulleinrelay.model.world import play
 
@@ -68,12 +67,6 @@
     assert first == again != play(read_fleet(SMALL.replace("seed = 4", "seed = 5")))
 
 
-@pytest.mark.parametrize("directors", [0, 5001])
-def test_so_many_directors_are_refused(directors):
-    with pytest.raises(CharterError, match="count"):
-        play(read_fleet(SMALL), directors)
-
-
 def test_a_fleet_larger_than_the_lab_is_played():
-    figures = play(read_fleet(SMALL.replace("seconds = 16", "seconds = 5")), 1000)
+    figures = play(read_fleet(SMALL.replace("seconds = 16", "seconds = 5")).sized(1000))
     assert figures["directors"] == 1000 and figures["outcomes"]["satisfied"] > 0.95 * figures["lookups"]
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -15,7 +15,7 @@
         (HEAD + "[fleet]\n", r"\[fleet\]: an unknown section"),
         (HEAD + "colour = red\n", r"\[fleet lab\] colour: an unknown key"),
         (HEAD + "warm_s = 40\n", r"\[fleet lab\] warm_s"),
-        (HEAD + "[directors]\ncount = 401\n", r"\[directors\] count"),
+        (HEAD + "[directors]\ncount = 5001\n", r"\[directors\] count"),
         (HEAD + "[nodes]\nlocations = a a\n", r"\[nodes\] locations"),
         (HEAD + "[nodes]\nlocations = a b c\ncaches = 900\n", r"\[nodes\] caches"),
         (HEAD + "[nodes]\nnotice_from_ms = 900\nnotice_to_ms = 100\n", r"\[nodes\] notice_to_ms"),
@@ -101,3 +101,16 @@
 @pytest.mark.parametrize("address", ["127.0.0.1", "10.20.0.1", "127.40.0.1", "x"])
 def test_who_else_comes_is_nobody(address):
     assert addresses.director_of(address) == -1
+
+
+@pytest.mark.parametrize(
+    "directors, caches, refused",
+    [(400, 50, ""), (401, 50, "count"), (10, 250, "caches"), (0, 5, "count"), (5001, 5, "count")],
+)
+def test_what_sockets_can_not_play_is_refused(directors, caches, refused):
+    scenario = read_fleet(HEAD + f"[nodes]\ncaches = {caches}\n")
+    if not refused:
+        assert scenario.sized(directors).on_sockets().directors == directors
+        return
+    with pytest.raises(CharterError, match=refused):
+        scenario.sized(directors).on_sockets()
