Faults are dated by their begin, and all directors of a kill die at once

The test of Ctrl-C failed where it ran as a background job, in which SIGINT is ignored. Change: a fault is dated before it strikes; a kill signals all, then sees to them; the test sets the signal back.

--- a/mulleinrelay/lab/fleet/play.py
+++ b/mulleinrelay/lab/fleet/play.py
@@ -332,14 +332,14 @@
             wait = self.began + 1000.0 * strike.at - now_ms()
             if wait > 0.0 and self.ended.wait(wait / 1000.0):
                 return
-            wrong = ""
+            wrong, at = "", now_ms()  # not after: many processes take a while to end
             try:
                 self._strike(strike, running)
             except Exception as broken:  # told with the fault; the play goes on
                 wrong = f"{type(broken).__name__}: {broken}"
             self.records.add(
                 "fault",
-                now_ms(),
+                at,
                 strike.name,
                 strike.what,
                 strike.begins,
@@ -373,15 +373,18 @@
                 }
             )
         else:
-            for number in strike.directors:
-                self._on_director(strike, self.directors[number])
+            met = [self.directors[number] for number in strike.directors]
+            if strike.what == "kill" and strike.begins:  # all at once, then they are seen to
+                for director in met:
+                    self.stopped.add(director.number)
+                    director.signal(signal.SIGKILL)
+            for director in met:
+                self._on_director(strike, director)
 
     def _on_director(self, strike: Strike, director: Director) -> None:
         if strike.what == "stop":
             director.signal(signal.SIGSTOP if strike.begins else signal.SIGCONT)
         elif strike.what == "kill" and strike.begins:
-            self.stopped.add(director.number)
-            director.signal(signal.SIGKILL)
             director.wait(5.0)
         elif strike.what == "kill":
             director.begin()
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -155,6 +155,9 @@
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
         env=os.environ | {"TMPDIR": str(temporary)},
+        preexec_fn=lambda: signal.signal(
+            signal.SIGINT, signal.SIG_DFL
+        ),  # a shell's background job ignores it,
     )
     end, held = time.monotonic() + 30.0, []
     while len(held) < 7 and time.monotonic() < end:  # six directors and the keeper name the folder
