--- a/mulleinrelay/lab/fleet/hosts.py
+++ b/mulleinrelay/lab/fleet/hosts.py
@@ -321,14 +321,9 @@
 
     def too_old(self, director: int, fields: dict[str, str], said: bytes, now: float) -> bool:
         """Whether the answer is an older copy than a purge that this director was told over a second ago."""
-        key = fields.get("name", "")
-        told, issued = self.told.get((director, key)), fields_of(said).get("issued")
-        return (
-            told is not None
-            and issued is not None
-            and now > told + 1000.0
-            and float(issued) < self.fleet.purged[key]
-        )
+        key, issued = fields.get("name", ""), fields_of(said).get("issued")
+        told = self.told.get((director, key))
+        return told is not None and issued is not None and self.fleet.too_old(key, float(issued), now, told)
 
     # What the lab wants
 
--- a/mulleinrelay/lab/fleet/load.py
+++ b/mulleinrelay/lab/fleet/load.py
@@ -9,6 +9,7 @@
 from .plan import ON_LOAD, SIZE, Fault, Scenario
 
 PAGES, ORDER, PAY = "pages", "order", "pay"
+PAUSE = 100.0  # ms before a retry where nothing names a time
 OUTSIZED = 40.0  # KB, of a new object that is ten times the usual
 
 
@@ -22,6 +23,12 @@
     receipt: str
 
 
+def may_try_again(scenario: Scenario, wanted: Wanted, tries: int, left: float) -> bool:
+    """Whether a client whose connection ended asks again, `left` ms before it stops waiting: never where the
+    first try may have had an effect that no receipt covers."""
+    return wanted.use_case != PAY and tries < scenario.tries and left > PAUSE
+
+
 class Catalogue:
     """Objects by a Zipf law, some of them wanted in all locations."""
 
--- a/mulleinrelay/lab/fleet/terminals.py
+++ b/mulleinrelay/lab/fleet/terminals.py
@@ -12,11 +12,10 @@
 from ...standins.loop import Loop, Wire, now_ms
 from . import addresses
 from .channel import Records, obey, say
-from .load import ORDER, PAY, Demand, Wanted
+from .load import PAUSE, Demand, Wanted, may_try_again
 from .plan import Scenario, read_fleet
 
 OPEN_MOST = 32  # lookups on one connection
-PAUSE = 100.0  # ms before a retry where the pushback names no time
 IDLE = 4000.0  # ms after which clients close a connection
 RETURN_EVERY = 1000.0  # ms between looks at a director that was given up
 WELL = "isWell"
@@ -200,10 +199,7 @@
         if out:
             self.records.add("cut", now, line.director, len(out))
         for pending, _ in out.values():
-            may = pending.wanted.use_case != PAY and (
-                pending.wanted.use_case != ORDER or pending.wanted.receipt
-            )
-            if may and pending.tries < self.scenario.tries and now < pending.until - PAUSE:
+            if may_try_again(self.scenario, pending.wanted, pending.tries, pending.until - now):
                 self.loop.at(
                     now + PAUSE, lambda pending=pending: self.attempt(pending, self.demand_of(pending))
                 )
--- a/mulleinrelay/model/world.py
+++ b/mulleinrelay/model/world.py
@@ -15,7 +15,7 @@
 from ..interface import Leg, Outcome
 from ..lab.fleet.audit import Audit, Heard
 from ..lab.fleet.hosts import fields_of, fleet_of
-from ..lab.fleet.load import Demand, Wanted
+from ..lab.fleet.load import PAUSE, Demand, Wanted, may_try_again
 from ..lab.fleet.paths import DOWN, UP, Book, Lane, rule_for
 from ..lab.fleet.plan import ON_NODES, ON_PATHS, Scenario, Strike
 from ..lab.start import settings_at
@@ -25,7 +25,6 @@
 from .directors import Modelled
 
 CLIENT_MS, NODE_MS = 0.3, 0.5  # one way, as on loopback with the relay
-PAUSE = 100.0
 
 
 @dataclass(slots=True, eq=False)
@@ -135,7 +134,8 @@
                 self.clock() + self.scenario.front_ms,
                 lambda: self.away.add(number) if self.directors[number].gone else None,
             )
-        if pending.wanted.use_case != "pay" and pending.tries < self.scenario.tries:
+        left = pending.until - self.clock()
+        if may_try_again(self.scenario, pending.wanted, pending.tries, left):
             return self.clock.at(self.clock() + PAUSE, lambda: pending.over or self.attempt(pending))
         self.ended(pending, "cut off")
 
@@ -258,13 +258,10 @@
         self.carry(number, name, DOWN, told)
 
     def too_old(self, director: int, fields: dict[str, str], said: bytes, now: float) -> bool:
-        told, issued = self.told.get((director, fields["name"])), fields_of(said).get("issued")
-        return (
-            told is not None
-            and issued is not None
-            and now > told + 1000.0
-            and float(issued) < self.fleet.purged[fields["name"]]
-        )
+        """Whether the answer is an older copy than a purge that this director was told over a second ago."""
+        key, issued = fields.get("name", ""), fields_of(said).get("issued")
+        told = self.told.get((director, key))
+        return told is not None and issued is not None and self.fleet.too_old(key, float(issued), now, told)
 
     def probe(self, director: Modelled, name: str) -> None:
         self.heard.others["probe"].append((self.since(), director.number, name, "METER"))
--- a/mulleinrelay/standins/fleet.py
+++ b/mulleinrelay/standins/fleet.py
@@ -218,9 +218,12 @@
             self.body,
         )
 
-    def too_old(self, key: str, issued: float, now: float) -> bool:
-        """Whether a copy is older than a purge that was told over a second before."""
-        return now > self.purged.get(key, now) + 1_000.0 and issued < self.purged[key]
+    def too_old(self, key: str, issued: float, now: float, told: float | None = None) -> bool:
+        """Whether a copy is older than a purge that was told over a second before: at `told`, or at once."""
+        moment = self.purged.get(key)
+        if moment is None:
+            return False
+        return now > (moment if told is None else told) + 1_000.0 and issued < moment
 
     def _whole(
         self, node: Node, done: float | None, now: float, spot: tuple[str, str], issued: float, why: str
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -2,7 +2,7 @@
 
 from mulleinrelay.cells.charter import CharterError
 from mulleinrelay.lab.fleet import addresses
-from mulleinrelay.lab.fleet.load import Demand
+from mulleinrelay.lab.fleet.load import Demand, Wanted, may_try_again
 from mulleinrelay.lab.fleet.plan import read_fleet
 
 HEAD = "[fleet lab]\nseconds = 30\nseed = 3\n"
@@ -114,3 +114,17 @@
         return
     with pytest.raises(CharterError, match=refused):
         scenario.sized(directors).on_sockets()
+
+
+@pytest.mark.parametrize(
+    "use_case, tries, left, again",
+    [
+        ("pages", 1, 500.0, True),
+        ("order", 2, 500.0, True),
+        ("order", 3, 500.0, False),
+        ("pages", 1, 90.0, False),
+        ("pay", 1, 500.0, False),  # its first try may have had its effect
+    ],
+)
+def test_which_clients_ask_again_after_their_connection_ended(use_case, tries, left, again):
+    assert may_try_again(read_fleet(HEAD), Wanted(use_case, 1, 4.0, ""), tries, left) is again
