The process test also causes slow, silent, moved and trickling parts of the fleet

Need: the issue names a cache slow for half of the directors, silent caches that come back, load that moves and late streams; processes were only tested under the others. Change: four more faults in the play of 41 processes, and a test that load moves and that a silent cache is back.

--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -80,6 +80,34 @@
 [fault purged]
 what = purge
 at = 19
+[fault slow]
+what = node_slow
+location = north
+share = 0.25
+seen_by = 0.5
+by = 3
+at = 15
+for = 4
+[fault mute]
+what = node_silent
+location = south
+share = 0.25
+at = 14
+for = 2
+[fault moved]
+what = shift
+location = north
+other = south
+by = 0.8
+at = 20
+for = 3.5
+[fault thin]
+what = trickle
+paths = stream
+share = 0.3
+by = 2
+at = 4
+for = 10
 """
 
 
@@ -139,6 +167,16 @@
     assert min(wait for director, wait in zip(told, waits, strict=True) if director not in late) < 2.5
 
 
+def test_load_moves_and_a_silent_cache_answers_nobody(troubled):
+    _, audit, _ = troubled
+    faults = {(fault[1], fault[3]): fault for fault in audit.faults}
+    first, last = faults["moved", True][0], faults["moved", False][0]
+    asked = [look[2] for look in audit.heard.looks if first + 0.2 < look[0] < last - 0.2]
+    assert asked.count("south") > 3 * asked.count("north") > 0
+    (mute,) = faults["mute", True][5]
+    assert any(leg[2] == mute and leg[0] > faults["mute", False][0] for leg in audit.heard.legs)  # it is back
+
+
 def test_nothing_of_it_is_left(troubled):
     folder, _, alive = troubled
     assert not [process for process in alive if process.is_running()] and not processes_of(folder)
