Links are asked and held by need, load reports earned by what a probe costs

Each director held an idle link to each cache for 15 s, so that connections to one cache grew with the number of directors (9.2 from 30 to 300). Change: spread/links.py. A link that was asked in vain waits twice as long each time, forgiven by its answers; an idle link is held for long only where all that may hold one stay within a bound, which goes by the settings' prices; a lookup earns reports by the root of a probe's price.

--- a/mulleinrelay/configuration.py
+++ b/mulleinrelay/configuration.py
@@ -86,6 +86,11 @@
         return host, int(port)
 
 
+def costs_of(settings: Section) -> Section:
+    """Prices by what they are for; none where they are not told."""
+    return settings.section("costs") if "costs" in settings.held else Section({}, settings.at("costs"))
+
+
 def read_terms(boot: Section) -> Terms:
     """What the decision module reads of the start settings, in the project's own words."""
     allowed, domain, rules = boot.section("allowed"), boot.section("domain"), boot.section("rules")
@@ -110,7 +115,7 @@
         asks_reports=report.text("how") == "probe",
         cold_cache=ColdRule(rules.number("coldFrom"), rules.number("cold"), overload_for),
         cold_parent=ColdRule(domain.number("parentStartsAt"), domain.number("parentWarmsIn"), overload_for),
-        purge_span=domain.number("purgeTakes"))
+        purge_span=domain.number("purgeTakes"), probe_price=costs_of(boot).number("probe", 0.0))
 
 
 def terms_from_text(text: bytes) -> Terms:
@@ -139,6 +144,7 @@
     connect_timeout: float
     idle_for: float  # nodes close a connection that was idle so long
     legs_a_connection: int
+    links_priced: bool = False  # a new connection to a node costs more than an open one
 
 
 def decode(text: bytes | str) -> Start:
@@ -149,6 +155,7 @@
     settings, known = whole.section("settings"), whole.section("known")
     allowed, terms, seed = settings.section("allowed"), read_terms(settings), whole.text("seed")
     limits = whole.section("limits") if "limits" in whole.held else Section({}, "limits")
+    costs = costs_of(settings)
     try:
         number = int(seed, 16)
     except ValueError:
@@ -166,7 +173,8 @@
         zones={name: place for place, name in enumerate(settings.items("azs"))},
         kinds={name: place for place, name in enumerate(settings.items("shapes"))},
         connect_timeout=allowed.number("connectTimeout"), idle_for=allowed.number("connIdle"),
-        legs_a_connection=allowed.whole("maxStreams"))
+        legs_a_connection=allowed.whole("maxStreams"),
+        links_priced=costs.number("handshake", 0.0) > costs.number("connection", 0.0))
 
 
 def from_environment(environment: dict[str, str] | os._Environ[str], path: str | None = None) -> Start:
--- a/mulleinrelay/interface.py
+++ b/mulleinrelay/interface.py
@@ -100,6 +100,7 @@
     cold_cache: ColdRule
     cold_parent: ColdRule
     purge_span: float
+    probe_price: float = 0.0  # of one probe a lookup, in credit; 0 where not told
 
 
 @dataclass(slots=True, eq=False)
--- a/mulleinrelay/model/world.py
+++ b/mulleinrelay/model/world.py
@@ -19,7 +19,8 @@
 from ..lab.fleet.paths import DOWN, UP, Book, Lane, rule_for
 from ..lab.fleet.plan import ON_NODES, ON_PATHS, Scenario, Strike
 from ..lab.start import settings_at
-from ..net.caches import ECHO_WAIT, QUIET
+from ..net.caches import ECHO_WAIT
+from ..spread.links import QUIET
 from ..standins.fleet import BOX, ORIGIN, PARENT
 from .clock import Clock
 from .directors import Modelled
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -19,13 +19,12 @@
 from ..facade import Facade
 from ..interface import Asked, Leg, Lookup, Node, Order, Outcome, Place
 from ..log import Log
+from ..spread.links import Patience, hold_for
 from . import resp
 from .outlet import Outlet
 
-IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
-QUIET, QUIET_LEAST = 1500.0, 100.0  # ms by 1 + legs out: without an answer so long, a link is asked
-ECHO_WAIT = 100.0  # ms from then to its end
+ECHO_WAIT = 100.0  # ms from asking a link for an echo to its end
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
 
@@ -44,6 +43,7 @@
         self.open: dict[str, Leg | Probe] = {}
         self.over: dict[str, float] = {}  # given up here; a late answer may still come
         self.asked = 0.0  # when it was asked whether it still brings answers
+        self.patience, self.held_for = Patience(), 0.0
         self.given_up = 0.0  # when a leg was given up with nothing heard since it was sent
 
     def takes(self, about: str, most: int) -> bool:
@@ -66,11 +66,16 @@
     """All links of one director."""
 
     def __init__(self, facade: Facade, clock: Callable[[], float], log: Log, connect_timeout: float,
-                 idle_for: float, legs_a_connection: int, links_most: int, may_probe: bool) -> None:
+                 idle_for: float, legs_a_connection: int, links_most: int, may_probe: bool,
+                 links_priced: bool) -> None:
+        """`links_priced`: a new connection costs more than an open one."""
         self.may_probe = may_probe
         self.facade, self.clock, self.log = facade, clock, log
         self.see_through: Callable[[Lookup], None] = lambda lookup: None  # set by the front
-        self.connect_timeout, self.idle_for = connect_timeout, idle_for
+        self.connect_timeout, terms = connect_timeout, facade.terms
+        self.far = (terms.parent_kind, terms.origin_kind)
+        self.held_for = {far: hold_for(idle_for, sharers, far, links_priced)
+                         for far, sharers in ((False, terms.directors_here), (True, terms.directors))}
         self.legs_a_connection, self.links_most = legs_a_connection, links_most
         self.lock = threading.Lock()
         self.links: dict[Place, list[Link]] = {}
@@ -112,8 +117,7 @@
                 if link.asked and now > link.asked + ECHO_WAIT * (2.0 if link.unread() else 1.0):
                     link.outlet.end()
                     continue
-                quiet = max(QUIET / (1 + len(link.open)), QUIET_LEAST)  # of many, one comes sooner
-                if not link.asked and now > link.quiet_since() + quiet:
+                if not link.asked and now > link.quiet_since() + link.patience.wait(len(link.open)):
                     link.asked = now
                     link.outlet.put(None, [resp.probe(f"probe-{next(self.tags)}", with_report=False)])
 
@@ -138,7 +142,7 @@
                             link.given_up = link.given_up or now
                             stuck.append(held)
                     if not link.open and (place.gone or link.given_up
-                                          or now > link.used + IDLE_SHARE * self.idle_for):
+                                          or now > link.used + link.held_for):
                         link.outlet.end()
         for leg in stuck:
             self._report(leg, Outcome.UNCONNECTED)
@@ -162,6 +166,7 @@
                 link = self._connect(place, links, now)
             if link is not None:
                 link.open[about], link.used = held, now
+                link.held_for = self.held_for[held.node.kind in self.far]
                 if isinstance(held, Leg):
                     self.of_leg[held] = (link, about)
                 link.outlet.put(about, pieces)
@@ -218,6 +223,10 @@
                 with self.lock:
                     held = link.open.pop(told.about, None)
                     link.used = link.heard = self.clock()
+                    if isinstance(held, Leg):
+                        link.patience.answered()
+                    elif held is None and link.asked:
+                        link.patience.echoed()
                     link.given_up = link.asked = 0.0
                     known = held is not None or told.about in link.over or told.about.startswith("probe-")
                     if isinstance(held, Leg):
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -41,7 +41,8 @@
         self.stopping, self.ended = threading.Event(), threading.Event()
         self.facade = Facade(self.clock, start.seed, start.terms, log)
         self.caches = Caches(self.facade, self.clock, log, start.connect_timeout, start.idle_for,
-                             start.legs_a_connection, int(LINKS_SHARE * start.sockets), start.terms.may_probe)
+                             start.legs_a_connection, int(LINKS_SHARE * start.sockets), start.terms.may_probe,
+                             start.links_priced)
         self.front = Front(start, self.facade, self.caches, log, int(CLIENTS_SHARE * start.sockets))
         self.bus = Bus(start, self.facade, log)
         self.warden = None
--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -112,7 +112,7 @@
 class Director:
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
-        self.watch = Watch(now, self.random, terms.asks_reports)
+        self.watch = Watch(now, self.random, terms.asks_reports, terms.probe_price)
         self.members: dict[Member, None] = {}  # all that are listed
         self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
         self.counts: dict[tuple[int, int], int] = {}
--- /dev/null
+++ b/mulleinrelay/spread/links.py
@@ -0,0 +1,43 @@
+"""When a quiet link is doubted, and how long an idle one is held; pure, times in ms.
+
+An echo costs the node work and has a price, an idle connection takes a place at the node: what one director
+does over a slow answer or out of habit, hundreds do at the same time. So a link that was asked in vain is
+asked more rarely while its answers take as long, and an idle one is held for long only where few directors
+share the node.
+"""
+
+QUIET, QUIET_LEAST = 1500.0, 100.0  # by 1 + legs out: of many, one comes sooner
+DOUBLINGS_MOST = 4.0  # each echo that comes back while legs stay out makes the next one wait twice as long
+FORGIVEN = 0.2  # of a doubling for each answer to a leg
+IDLE_SHARE = 0.5  # of the time after which the other side closes an idle connection, we do
+HELD_MOST, HELD_FAR = 12, 48  # idle links to one cache, to one parent or the origin, over all directors
+PRICED = 8  # times as many where a new connection costs more than an open one
+HELD_SHORT = 50.0  # where there would be more, each is held for so long
+
+
+class Patience:
+    """How long one link may say nothing while legs are out on it, before it is asked for an echo."""
+
+    def __init__(self) -> None:
+        self.false = 0.0  # echoes that came back with no answer to a leg, less a part for each answer since
+
+    def wait(self, legs: int) -> float:
+        return max(QUIET / (1 + legs), QUIET_LEAST) * 2.0 ** self.false
+
+    def echoed(self) -> None:
+        """It was asked and lives: what is out there takes its time."""
+        self.false = min(DOUBLINGS_MOST, self.false + 1.0)
+
+    def answered(self) -> None:
+        self.false = max(0.0, self.false - FORGIVEN)
+
+
+def hold_for(idle_for: float, sharers: int, far: bool, priced: bool) -> float:
+    """How long an idle link to a node is held from its last use. `idle_for`: the node closes it then;
+    `sharers`: directors that may hold one; `far`: a parent or the origin, which all share; `priced`: a new
+    connection costs more than an open one. Where all together stay within the bound, for long; else for so
+    short a time that the node has no more links than lookups in that time and what they take, whatever the
+    number of directors."""
+    bound = (HELD_FAR if far else HELD_MOST) * (PRICED if priced else 1)
+    longest = IDLE_SHARE * idle_for
+    return longest if sharers <= bound else min(longest, HELD_SHORT)
--- a/mulleinrelay/spread/watching.py
+++ b/mulleinrelay/spread/watching.py
@@ -5,19 +5,24 @@
 each at a moment of its own, and reports are earned by lookups.
 """
 
+import math
 from collections.abc import Collection, Hashable, Sequence
 from random import Random
 
 ECHO_LEAST, ECHO_EACH = 500.0, 50.0  # a doubted node is asked so often, or once in so much for each sharer
 REPORT_EVERY = 500.0  # between two reports of one director at the least
 REPORT_EARNED, REPORTS_MOST = 0.2, 4.0  # reports that a lookup earns; that may be saved up
+USUAL_PRICE = 0.014  # of one probe a lookup, in credit, up to which it earns so many
 UNWATCHED = 30_000.0  # a director with hardly a lookup still asks once in so long
 
 
 class Watch:
     """One director's questions."""
 
-    def __init__(self, now: float, random: Random, reports: bool) -> None:
+    def __init__(self, now: float, random: Random, reports: bool, price: float = 0.0) -> None:
+        """`price`: of one probe a lookup. What reports are worth falls as one over their rate, so that the
+        best rate falls with the root of the price."""
+        self.earns = REPORT_EARNED * math.sqrt(USUAL_PRICE / max(price, USUAL_PRICE))
         self.random, self.reports = random, reports
         self.echoes: dict[Hashable, tuple[float, float]] = {}  # doubted nodes: when each is asked, how often
         self.earned = random.random()
@@ -25,7 +30,7 @@
         self.watch_due = now + UNWATCHED * random.random()
 
     def looked_up(self) -> None:
-        self.earned = min(REPORTS_MOST, self.earned + REPORT_EARNED)
+        self.earned = min(REPORTS_MOST, self.earned + self.earns)
 
     def doubts(self, node: Hashable, now: float, sharers: int) -> None:
         """It is not reached any more: it is asked for an echo until it answers. `sharers`: directors that may
--- a/tests/spread/test_watching.py
+++ b/tests/spread/test_watching.py
@@ -74,3 +74,11 @@
         for one_seed in (False, True)
     )
     assert apart <= 8 and together == 50
+
+
+@pytest.mark.parametrize("price, rate", [(0.0, 0.2), (0.014, 0.2), (0.056, 0.1), (1.4, 0.02)])
+def test_dear_reports_are_asked_for_more_rarely(price, rate):
+    watch = Watch(0.0, Random(1), True, price)
+    watch.earned = 0.0
+    watch.looked_up()
+    assert watch.earned == pytest.approx(rate)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,11 +14,12 @@
 
 from mulleinrelay import serving
 from mulleinrelay.facade import Facade
-from mulleinrelay.interface import Leg, Outcome
+from mulleinrelay.interface import Leg, Node, Outcome
 from mulleinrelay.log import Log
-from mulleinrelay.net import bus, caches, front, service
+from mulleinrelay.net import bus, front, service
 from mulleinrelay.net.caches import Link
 from mulleinrelay.net.outlet import Outlet
+from mulleinrelay.spread import links
 
 HIT = (b"DONE", b"why=HIT,entity=aa,issued=1", b"bytes")
 WELL = call_frame("isWell", 1, b"\x02\x00\x01\x00\x00")
@@ -132,7 +133,7 @@
 @pytest.mark.parametrize("plan", ["cut", MUTE])
 def test_a_connection_of_no_more_use_is_ended_and_what_is_open_on_it_goes_elsewhere(plan, monkeypatch):
     # Guards against lookups that wait out their time on a connection that stays open after a bad answer.
-    monkeypatch.setattr(caches, "QUIET", 100.0)  # before the module's own timer
+    monkeypatch.setattr(links, "QUIET", 100.0)  # before the module's own timer
     with Running() as director:
         caller, bad = director.caller(), director.nodes[:3]
         caller.send(entity="00000000000000cd")
@@ -179,7 +180,7 @@
     # Guards against a stalled link that sends a leg seconds later, after a drain or a purge.
     with Running() as director:
         caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
-        leg = Leg(None, 0, None, None, director.service.clock(), 6000.0)
+        leg = Leg(None, 0, Node(1), None, director.service.clock(), 6000.0)
         reported = []
         caches._report = lambda *word: reported.append(word)
         ours, theirs = socket.socketpair()
@@ -197,7 +198,7 @@
 def test_a_reset_proves_that_nothing_ran_only_where_nothing_was_written():
     with Running() as director:
         caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
-        legs = [Leg(None, number, None, None, director.service.clock(), 6000.0) for number in range(2)]
+        legs = [Leg(None, number, Node(1), None, director.service.clock(), 6000.0) for number in range(2)]
         reported = []
         caches._report = lambda *word: reported.append(word)
         ours, theirs = socket.socketpair()
@@ -442,7 +443,7 @@
     # Guards against the late answer to a leg given up being taken for that of the next leg under the same id.
     with Running(lambda fields: None) as director:
         caches, place = director.service.caches, next(iter(director.service.facade.places.values()))
-        legs = [Leg(None, number, None, None, 0.0, 1000.0) for number in range(3)]
+        legs = [Leg(None, number, Node(1), None, 0.0, 1000.0) for number in range(3)]
         reported = []
         caches._report = lambda leg, *rest: reported.append(leg)
         for leg in legs[:2]:
