A part of a cold node that is less than a lookup is drawn as tickets

The warm parent was late; the new ones had no room, since has_room gave each director 0.8 * share * warmth * 1500 ms / 60, less than one lookup's work, so that nothing ever fitted. Change: spread/cold.py decides, pure: sliding part as before, and beyond it tickets drawn at random, bounded in what all hold at one moment. Tests: all together stay below what fells a node at 1 to 600 directors; the node is used; no rush.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -13,6 +13,7 @@
 
 from .interface import (EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, Purse, State, Terms,
                         Writer)
+from .spread.cold import Allowance
 from .spread.watching import Watch
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
@@ -28,7 +29,6 @@
 HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
 POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
-COLD_FILL = 0.8  # part of a cold member's present capacity that all directors together go to
 SICK_LEAST, SICK_SHARE, HEALTH_MOST = 1.5, 0.3, 12.0  # bad outcomes, their share of so many, that shun
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
@@ -92,7 +92,7 @@
         self.heard, self.quiet, self.lost = 0.0, 0.0, 0.0  # last word, signs of silence since, last break
         self.shunned, self.unreached, self.trial_due = False, False, 0.0  # unreached: shunned for silence
         self.out: dict[Leg, None] = {}
-        self.spent: list[tuple[float, float]] = []  # what this director sent it while cold
+        self.cold = Allowance()  # what this director may send it while cold
 
 
 def mix(*parts: int) -> int:
@@ -250,7 +250,7 @@
         work = self.work(lookup)
         for member in {node: None, source: None}:
             if member is not None and self.warmth(member) < 1.0:
-                member.spent.append((self.now, work))
+                member.cold.spend(self.now, work)
         keep, renew = self.rank(lookup) if node in self.caches else 0, lookup.use_case.fresh_for > 0
         join = self.terms.joins and not any(other.outcome == Outcome.TIMEOUT for other in lookup.legs)
         self.out.send(leg, self.max_age(lookup), keep, join, held_only, keep > 0, renew)
@@ -474,10 +474,8 @@
         warmth, rule = self.warmth(member), self.cold_rule(member)
         if warmth >= 1.0:
             return True
-        member.spent = [(at, spent) for at, spent in member.spent if at >= self.now - rule.span]
         sharers = self.terms.directors if member in self.parents else self.terms.directors_here
-        room = COLD_FILL * member.share * warmth * rule.span / sharers
-        return sum(spent for _, spent in member.spent) + work <= room
+        return member.cold.fits(self.now, work, member.share * warmth / sharers, rule.span, self.random)
 
     def too_late(self, delays: Histogram, lookup: Lookup) -> bool:
         """Whether a fill would miss the goal by its source's delay or the origin's; what is held must do.
--- /dev/null
+++ b/tests/spread/test_cold.py
@@ -0,0 +1,85 @@
+import math
+from random import Random
+
+import pytest
+
+from mulleinrelay.spread.cold import FILL, Allowance
+
+SPAN = 1500.0
+
+
+def fleet(directors, capacity, wants, seed, seconds=60.0, work=lambda draw: 100.0, first=0.0):
+    """What a cold node is sent, as (ms, work): `capacity` is work a ms, `wants` lookups a second of each
+    director; from `first` s on."""
+    draw, sent = Random(seed), []
+    held = [(Allowance(), Random(f"{seed}-{number}")) for number in range(directors)]
+    now, rate = 1000.0 * first, directors * wants / 1000.0
+    while now < 1000.0 * (first + seconds):
+        now += draw.expovariate(rate)
+        allowance, random = draw.choice(held)
+        asked = work(draw)
+        if allowance.fits(now, asked, capacity / directors, SPAN, random):
+            allowance.spend(now, asked)
+            sent.append((now, asked))
+    return sent
+
+
+def most_in_a_span(sent):
+    most = total = 0.0
+    first = 0
+    for now, work in sent:
+        total += work
+        while sent[first][0] < now - SPAN:
+            total -= sent[first][1]
+            first += 1
+        most = max(most, total)
+    return most
+
+
+@pytest.mark.parametrize("directors, wants", [
+    (1, 200.0), (5, 40.0), (20, 10.0), (200, 1.0), (200, 20.0), (600, 0.5)])
+@pytest.mark.parametrize("capacity", [0.6, 2.0, 8.0])
+def test_all_together_stay_below_what_fells_a_cold_node(directors, wants, capacity):
+    """It falls at N + 3 root N + 3 lookups of mean work, N being what it can do in the span."""
+    number = capacity * SPAN / 100.0
+    for seed in range(5):
+        sent = fleet(directors, capacity, wants, seed, 30.0)
+        assert most_in_a_span(sent) / 100.0 < number + 3.0 * math.sqrt(number) + 3.0
+
+
+@pytest.mark.parametrize("directors, least", [(5, 0.5), (60, 0.25), (200, 0.25), (600, 0.15)])
+def test_a_cold_node_is_used_however_many_share_it(directors, least):
+    """Guards against parts so small that no lookup ever fits: the node would be idle while it is cold."""
+    capacity = 4.0
+    sent = fleet(directors, capacity, 300.0 / directors, 1)
+    assert sum(work for _, work in sent) >= least * capacity * 60_000.0
+
+
+def test_large_lookups_pay_for_what_they_take():
+    def work(draw):
+        return 400.0 if draw.random() < 0.2 else 50.0
+
+    sent = fleet(200, 4.0, 2.0, 3, work=work)
+    large = sum(held for _, held in sent if held > 100.0)
+    assert 0.2 * 4.0 * 60_000.0 < sum(held for _, held in sent) < FILL * 4.0 * 60_000.0
+    assert 0.2 < large / sum(held for _, held in sent) < 0.9
+
+
+def test_all_wanting_the_same_node_in_the_same_moment_find_few_tickets():
+    capacity, sent = 4.0, []
+    held = [(Allowance(), Random(number)) for number in range(200)]
+    for allowance, random in held:  # each has looked at it now and then, and not used it
+        for now in range(0, 10_000, 50):
+            allowance.fits(float(now), 100.0, capacity / 200, SPAN, random)
+    for allowance, random in held:
+        if allowance.fits(10_000.0, 100.0, capacity / 200, SPAN, random):
+            sent.append(100.0)
+    number = capacity * SPAN / 100.0
+    assert 0 < len(sent) < number
+
+
+def test_an_answer_holds_for_its_moment():
+    allowance, random = Allowance(), Random(5)
+    for now in range(0, 30_000, 100):
+        asked = {allowance.fits(float(now), 100.0, 0.02, SPAN, random) for _ in range(5)}
+        assert len(asked) == 1
