Full caches count as crowded, and pushbacks stop further legs: no storm outlives its cause

A leg turned away at once cost 0.3 of a further leg and said nothing of crowding, so lookups went from full cache to full cache. In policy.py a refusal counts as a hit that was 200% late. Simulated servers.

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -13,7 +13,9 @@
 
 from .interface import (EFFECTFUL, PURE, RECEIPTED, Leg, Lookup, Node, Note, Outcome, Purse, State, Terms,
                         Writer)
+from .spread import storm
 from .spread.cold import Allowance
+from .spread.storm import Storm
 from .spread.watching import Watch
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
@@ -32,16 +34,14 @@
 SICK_LEAST, SICK_SHARE, HEALTH_MOST = 1.5, 0.3, 12.0  # bad outcomes, their share of so many, that shun
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
-AGAIN_QUICK, QUICK = 0.3, 0.25  # a further leg's cost after one that ended within that part of its work
-AGAIN_EARNED, AGAIN_MOST, ERRORS_MOST = 0.15, 8.0, 2  # legs a lookup earns, saved at most; errors it may have
+AGAIN_MOST, ERRORS_MOST = 8.0, 2  # further legs saved up at most; errors a lookup may have
 FILL_PACE = 2.0  # a fill may run this much faster than an answer, so a link slows answers only above it
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 UNREACHED = ("silent", "unconnected", "reset")  # what an echo disproves
 ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
+FULL = 200.0  # percent that a hit would be late where a leg was turned away
 CALM = 1.2  # slowed by less than this, within the noise of coarse bins, a cache or link takes all that fits
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
-COME_BACK = 100.0  # advice to what is pushed back: the goal runs on, and a jam is seen again at once
-PUSHED_SHARE = 0.1  # share of pushbacks that is logged as a mode; half of it ends the mode
 GUARD = 6.0  # the final answer goes out so long before the client stops waiting
 PURGE_MARGIN, PURGE_KEPT = 3.0, 20.0  # a copy is younger than the purge by so much; purge spans it binds
 MIDDLES = [6.0 * 2.0 ** place for place in range(11)]  # of a histogram's bins
@@ -127,7 +127,7 @@
         self.trials = self.random.random()  # trials that may go now; directors start apart
         self.link, self.link_told = 0.0, 0.0  # crowding of the location's link, and when it was told
         self.behind = Histogram(HALF_BEHIND)  # delay of what came by way of the origin
-        self.taken, self.pushing = Histogram(HALF_RECENT), False  # bin 0: lookups, bin 1: pushbacks
+        self.storm = Storm()
 
     # What comes in; `end` (the client left) and `sign_of_life` are called from outside, too
 
@@ -169,9 +169,11 @@
         self.total += 1
         self.watch.looked_up()
         purse = lookup.pool.purse if lookup.pool else self.purse
-        purse.again = min(AGAIN_MOST, purse.again + AGAIN_EARNED)
+        turned = self.storm.looked_up(self.now)
+        purse.again = min(AGAIN_MOST, purse.again + self.storm.earned())
         self.trials = min(TRIALS_MOST, self.trials + TRIAL_EARNED)
-        self.weigh_pushbacks()
+        if turned:
+            self.log_pushbacks()
         if lookup.size and self.terms.flow:
             known = self.sending[lookup.use_case]
             known[0] += lookup.size / self.terms.flow
@@ -221,7 +223,8 @@
         if len(lookup.legs) >= self.terms.legs_most or failed >= ERRORS_MOST or not self.may_send(lookup):
             return self.give_up(lookup)
         if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
-            cost = AGAIN_QUICK if self.now - lookup.legs[-1].sent < QUICK * self.work(lookup) else 1.0
+            last, work = lookup.legs[-1], self.work(lookup)
+            cost = storm.cost(last.outcome == Outcome.TURNED_AWAY, self.now - last.sent, work)
             purse = lookup.pool.purse if lookup.pool else self.purse
             if purse.again < cost:
                 return self.give_up(lookup)
@@ -283,20 +286,17 @@
         case, terms = lookup.use_case, self.terms
         known = case.repeat == RECEIPTED and case.group == "all"
         if case.repeat == PURE or known or not may_have_run(lookup):
-            self.taken.bins[1] += 1.0
-            self.out.push_back(lookup, min(COME_BACK, terms.advice_most) if terms.may_advise else 0.0)
+            self.storm.pushed_back()
+            advice = storm.come_back(self.random.random(), terms.advice_most)
+            self.out.push_back(lookup, advice if terms.may_advise else 0.0)
         else:
             self.out.break_off(lookup)
         self.end(lookup)
 
-    def weigh_pushbacks(self) -> None:
-        self.taken.age(self.now)
-        self.taken.bins[0] += 1.0
-        taken, pushed = self.taken.bins[:2]
-        if self.pushing != (pushed > (PUSHED_SHARE / 2 if self.pushing else PUSHED_SHARE) * taken):
-            self.pushing = not self.pushing
-            self.out.log(f"{('taking all again', 'pushing back')[self.pushing]}: {pushed:.0f} of {taken:.0f} "
-                         f"lookups, link {self.link:.1f}, origin {self.behind.middle(self.now):.0f} ms")
+    def log_pushbacks(self) -> None:
+        word, seen = ("taking all again", "pushing back")[self.storm.on], self.storm
+        self.out.log(f"{word}: {seen.pushed:.0f} of {seen.lookups:.0f} lookups, link {self.link:.1f}, "
+                     f"origin {self.behind.middle(self.now):.0f} ms")
 
     def end(self, lookup: Lookup) -> None:
         lookup.ended = True
@@ -543,6 +543,8 @@
                 self.mark(source, 0.0, "")
             return
         held.pop(node, None)
+        if outcome == Outcome.TURNED_AWAY:  # crowded, as late hits would show if any came
+            node.late.add(self.now, FULL)
         if outcome == Outcome.UNCONNECTED:
             self.mark(node, 2.0, "unconnected")
         elif outcome == Outcome.RESET and leg.sent > node.lost:  # once a break: a spoilt answer takes along
--- /dev/null
+++ b/tests/lab/test_recovery.py
@@ -0,0 +1,28 @@
+"""That no overload lives on after its cause, in the model; and that the measure would see one that does."""
+
+import pytest
+
+from benchmarks import recovery
+from mulleinrelay import policy
+from mulleinrelay.spread import storm
+
+
+@pytest.mark.parametrize("trouble, length", [
+    ("slow", 4), ("slow", 10), ("burst", 4), ("cut", 4), ("errors", 4)])
+def test_the_fleet_is_back_within_ten_seconds(trouble, length):
+    found = recovery.play(trouble, length, 20, 220.0, 1)
+    assert found["calm"] > 0.95 and found["during"] < 0.7
+    assert found["back_s"] is not None and found["back_s"] <= 10
+
+
+def test_a_planted_storm_is_found(monkeypatch):
+    """Directors that send on whatever was turned away, at no cost: the overload outlives its cause."""
+    monkeypatch.setattr(storm, "EARNED", 6.0)
+    monkeypatch.setattr(storm, "NONE_AT", 1e9)
+    monkeypatch.setattr(storm, "cost", lambda *_: 0.05)
+    monkeypatch.setattr(policy, "FULL", 0.0)
+    wild = recovery.play("slow", 8, 20, 220.0, 1)
+    monkeypatch.undo()
+    tame = recovery.play("slow", 8, 20, 220.0, 1)
+    assert wild["legs_by_lookup"] > 1.5 * tame["legs_by_lookup"]
+    assert wild["back_s"] is None or wild["back_s"] >= tame["back_s"] + 2
