--- /dev/null
+++ b/tests/lab/test_many_lost.py
@@ -0,0 +1,94 @@
+"""Some forty processes of which most are lost, caches that are all slow, and half that return cold; judged by
+counts at caches and clients."""
+
+import pytest
+
+from mulleinrelay.lab.fleet.audit import Audit, read
+from mulleinrelay.lab.fleet.play import FleetLab
+from mulleinrelay.lab.fleet.plan import read_fleet
+
+LOST = """
+[fleet lab]
+seconds = 26
+warm_s = 4
+seed = 7
+[directors]
+count = 34
+uneven = 1.0
+[nodes]
+locations = north south
+caches = 4
+capacity = 40
+cold_from = 0.2
+cold_ms = 14000
+parent_cold_ms = 14000
+falls = yes
+[load]
+rate = 90
+objects = 200
+patience_ms = 4000
+late_ms = 5000
+goal_ms = 1500
+tries = 3
+[fault slow]
+what = node_slow
+share = 1.0
+by = 15
+at = 5
+for = 4
+[fault cold]
+what = node_cold
+share = 0.5
+at = 14
+for = 1
+[fault killed]
+what = kill
+share = 0.7
+at = 20
+for = 3
+"""
+
+
+@pytest.fixture(scope="module")
+def audit(tmp_path_factory):
+    folder = str(tmp_path_factory.mktemp("lost"))
+    FleetLab(read_fleet(LOST), LOST, folder).run()
+    return Audit(read_fleet(LOST), read(folder))
+
+
+def fault(audit, name, begins=True):
+    return next(held for held in audit.faults if held[1] == name and held[3] == begins)
+
+
+def test_no_rule_is_broken(audit):
+    assert {rule: found for rule, found in audit.rules().items() if found} == {}
+
+
+def test_caches_that_are_all_slow_get_no_storm_of_legs(audit):
+    """Guards against lookups that go from full cache to full cache: then there are over two legs a lookup."""
+    first, last = fault(audit, "slow")[0], fault(audit, "slow", False)[0] + 2.0
+    legs = [leg for leg in audit.heard.legs if leg[2] in audit.boxes and first < leg[0] < last]
+    asked = sum(look[8] for look in audit.heard.looks if first < look[0] < last)  # with the clients' retries
+    assert 0 < len(legs) < 1.5 * asked
+
+
+def test_what_is_satisfied_is_back_once_the_slowness_is_over(audit):
+    end = fault(audit, "slow", False)[0]
+    looks = [look[7] for look in audit.heard.looks if end + 2.5 < look[0] < end + 4.5]
+    assert looks.count("satisfied") > 0.8 * len(looks) > 50
+
+
+def test_caches_that_return_cold_are_used_and_do_not_fall(audit):
+    """Guards against parts of a cold cache that are less than one lookup: 17 directors share each, so that
+    none would be asked anything for all its cold time."""
+    back, cold = fault(audit, "cold", False)[0], set(fault(audit, "cold")[5])
+    legs = [leg for leg in audit.heard.legs if leg[2] in cold and back < leg[0] < back + 5.0]
+    assert len(cold) == 4 and len(legs) >= 4 and not audit.heard.others["fell"]
+
+
+def test_survivors_answer_all_they_take_while_most_are_gone(audit):
+    first, last = fault(audit, "killed")[0], fault(audit, "killed", False)[0]
+    dead = set(fault(audit, "killed")[4])
+    taken = [look for look in audit.heard.looks if first < look[0] < last and look[4] not in dead]
+    answered = [look for look in taken if look[7] in ("satisfied", "pushed back", "broken off")]
+    assert len(dead) == 24 and len(taken) > 30 and len(answered) == len(taken)
