Popularity is counted over longer spans where a director sees little

A span now goes on, three times as long at the most, until its lookups can tell a share of 2%, and three sightings suffice (spread/popularity.py, out of policy.py).

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -15,6 +15,7 @@
                         Writer)
 from .spread import storm
 from .spread.cold import Allowance
+from .spread.popularity import Popularity
 from .spread.storm import Storm
 from .spread.watching import Watch
 
@@ -28,8 +29,6 @@
 USUAL_PUT_IN = 0.4  # weight of one usual reading beside the few recent ones of a parent
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
-HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
-POPULAR_SPAN = 10000.0  # popularity is counted over spans of this length, the last one at half weight
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
 SICK_LEAST, SICK_SHARE, HEALTH_MOST = 1.5, 0.3, 12.0  # bad outcomes, their share of so many, that shun
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
@@ -115,9 +114,7 @@
         self.watch = Watch(now, self.random, terms.asks_reports, terms.probe_price)
         self.members: dict[Member, None] = {}  # all that are listed
         self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
-        self.counts: dict[tuple[int, int], int] = {}
-        self.older: dict[tuple[int, int], int] = {}
-        self.total, self.older_total, self.span_ends = 0, 0, now + POPULAR_SPAN
+        self.popular = Popularity(now)
         self.beliefs: dict[tuple[int, int], dict[Member, float]] = {}
         self.purges: dict[tuple[str, int], float] = {}  # moment of the last purge of an object or a group
         self.sending = {case: [0.0, 0.0] for case in terms.use_cases}  # sum of sending times and their number
@@ -162,11 +159,8 @@
         self.origin = next((m for m in ready if m.kind == self.terms.origin_kind), None)
 
     def looked_up(self, lookup: Lookup) -> None:
-        if self.now >= self.span_ends:
-            self.turn_span()
-        spot = (lookup.key, lookup.part)
-        self.counts[spot] = self.counts.get(spot, 0) + 1
-        self.total += 1
+        if self.popular.seen(self.now, (lookup.key, lookup.part)):
+            self.forget_old()
         self.watch.looked_up()
         purse = lookup.pool.purse if lookup.pool else self.purse
         turned = self.storm.looked_up(self.now)
@@ -325,8 +319,7 @@
         tried = {leg.node for leg in lookup.legs if leg.outcome != Outcome.MISS}
         ranked = self.by_hash([cache for cache in caches if cache not in tried], lookup.key, lookup.part)
         fit = self.fit(ranked, self.work(lookup))
-        hot = max(HOT_LEAST, HOT_SHARE * (self.total + 0.5 * self.older_total))
-        first = list(islice(fit, 1 + int(self.count(lookup) / hot)))
+        first = list(islice(fit, self.popular.caches((lookup.key, lookup.part))))
         if len(first) > 1:  # among equals each director takes its own, or all would take the first
             self.random.shuffle(first)
             first.sort(key=self.crowd)
@@ -345,13 +338,7 @@
         return sorted(members, key=lambda member: -math.log((mix(*what, member.key) + 1) / 2.0 ** 64)
                       / max(member.share * self.warmth(member), 1e-3))
 
-    def count(self, lookup: Lookup) -> float:
-        spot = (lookup.key, lookup.part)
-        return self.counts.get(spot, 0) + 0.5 * self.older.get(spot, 0)
-
-    def turn_span(self) -> None:
-        self.older, self.counts, self.older_total, self.total = self.counts, {}, self.total, 0
-        self.span_ends = self.now + POPULAR_SPAN
+    def forget_old(self) -> None:
         self.beliefs = {spot: held for spot, held in self.beliefs.items()
                         if any(self.now - at < BELIEF_AGE for at in held.values())}
         self.purges = {what: at for what, at in self.purges.items()
@@ -360,7 +347,7 @@
     def rank(self, lookup: Lookup) -> int:
         """Kept by evidence that it is wanted again, so that what is asked for once wipes nothing."""
         known = self.sending[lookup.use_case]
-        if self.count(lookup) >= 2:
+        if self.popular.count((lookup.key, lookup.part)) >= 2:
             return 2
         return 0 if known[1] and self.work(lookup) > OVERSIZED * known[0] / known[1] else 1
 
