Overdue lookups wait for living nodes; a cut location is told from dead caches; odds judge

Model, 200 directors with one lookup a second each: after caches had been slow for 8 s the fleet never came back: caches served 400 legs a second for 20 lookups, since each overdue lookup whose further leg could not be paid for was pushed back, though its leg was about to be answered, and its client came again. Now it waits where the node is reached (Director.stuck).

--- a/mulleinrelay/policy.py
+++ b/mulleinrelay/policy.py
@@ -16,8 +16,10 @@
 from .spread import storm
 from .spread.cold import Allowance
 from .spread.popularity import Popularity
+from .spread.reach import Reach
 from .spread.storm import Storm
-from .spread.watching import Watch
+from .spread.verdicts import Health
+from .spread.watching import Watch, pace
 
 NEAR = 80.0  # d: a member this much slower than its yardstick is passed over; above the noise of coarse bins
 TRIAL_EVERY = 500.0  # a passed-over member gets one trial so often at most: back within seconds
@@ -30,7 +32,6 @@
 SPREAD = 1.2  # a fill is begun while this multiple of the middle delay leaves it time: half come later
 BELIEF_AGE = 8000.0  # how long an answer makes us believe that a cache holds the object
 OVERSIZED = 4.0  # objects this many times their use case's mean, first seen, are not kept
-SICK_LEAST, SICK_SHARE, HEALTH_MOST = 1.5, 0.3, 12.0  # bad outcomes, their share of so many, that shun
 QUIET_MOST = 2.0  # overdue legs, with nothing heard meanwhile, that make a member silent
 OVERDUE = 0.5  # sign of silence (0.5: twice the time it was due to take) at which a leg goes elsewhere
 AGAIN_MOST, ERRORS_MOST = 8.0, 2  # further legs saved up at most; errors a lookup may have
@@ -38,6 +39,7 @@
 REPORT_AGE = 1500.0  # an older word of the link's crowding is not used
 UNREACHED = ("silent", "unconnected", "reset")  # what an echo disproves
 ADMIT_MANY, ADMIT_ALONE = 0.4, 0.3  # part of its goal that a lookup may take; the 2nd if alone
+SOON = 250.0  # the first echo of a location that counts as cut off comes so soon: it may be reached after all
 FULL = 200.0  # percent that a hit would be late where a leg was turned away
 CALM = 1.2  # slowed by less than this, within the noise of coarse bins, a cache or link takes all that fits
 CHECK_LEAST = 150.0  # a leg is not looked at again sooner: less than the delays of a far source
@@ -86,10 +88,11 @@
 
     def reset(self) -> None:
         self.recent, self.usual = Histogram(HALF_RECENT), Histogram(HALF_USUAL)
-        self.health = Histogram(HALF_USUAL)  # bin 0: good outcomes, bin 1: bad ones
+        self.health = Health()
         self.late = Histogram(HALF_RECENT)  # hits: time beyond their sending time, in percent of it
         self.heard, self.quiet, self.lost = 0.0, 0.0, 0.0  # last word, signs of silence since, last break
         self.shunned, self.unreached, self.trial_due = False, False, 0.0  # unreached: shunned for silence
+        self.shunned_at = 0.0
         self.out: dict[Leg, None] = {}
         self.cold = Allowance()  # what this director may send it while cold
 
@@ -112,6 +115,7 @@
     def __init__(self, now: float, seed: int, terms: Terms) -> None:
         self.terms, self.now, self.random = terms, now, Random(seed)
         self.watch = Watch(now, self.random, terms.asks_reports, terms.probe_price)
+        self.reach = Reach()
         self.members: dict[Member, None] = {}  # all that are listed
         self.listed([], True, False)  # caches: the ready ones of this location; parents; the origin
         self.popular = Popularity(now)
@@ -145,18 +149,21 @@
         if whole:
             for member in self.members:
                 member.state = State.GONE
+        anew = False
         for member, *row in rows:
             if row[-1] != member.started or member not in self.members:
                 member.reset()
+                anew |= row[3] == self.terms.zone
             member.state, member.share, member.kind, member.zone, member.listed_cell, member.started = row
             self.members[member] = None
         self.members = {member: None for member in self.members if member.state != State.GONE or member.out}
         ready = [member for member in self.members if member.state == State.READY]
-        self.watch.only([member for member in ready if member.shunned])  # not what has gone or starts anew
         kinds = (self.terms.parent_kind, self.terms.origin_kind)
         self.caches = [m for m in ready if m.kind not in kinds and m.zone == self.terms.zone]
         self.parents = [m for m in ready if m.kind == self.terms.parent_kind]
         self.origin = next((m for m in ready if m.kind == self.terms.origin_kind), None)
+        self.reach.listed(self.caches, anew)  # echoes: not of what has gone or starts anew
+        self.watch.only([m for m in ready if m.shunned or (self.reach.cut and m in self.reach.nodes)])
 
     def looked_up(self, lookup: Lookup) -> None:
         if self.popular.seen(self.now, (lookup.key, lookup.part)):
@@ -196,10 +203,13 @@
     def told(self, member: Member, load: dict[str, float] | None, well: bool = True) -> None:
         """What a probe brought; an answer disproves that the member is not reached."""
         self.note_load(member, load)
-        if well and member.shunned and member.unreached:
-            member.health.bins[1] = 0.0
-            member.quiet = member.quiet or QUIET_MOST
-            self.sign_of_life(member)
+        if well and (member.unreached or (self.reach.cut and member in self.reach.nodes)):
+            self.take_back(member)
+
+    def take_back(self, member: Member) -> None:
+        member.health.forget_bad()
+        member.quiet = member.quiet or QUIET_MOST
+        self.sign_of_life(member)
 
     def note_load(self, member: Member, load: dict[str, float] | None) -> None:
         if load and member in self.caches and "crowding" in load:
@@ -215,30 +225,37 @@
         """Sends the next leg, or ends the lookup where none is left that may go."""
         failed = sum(leg.outcome == Outcome.ERROR for leg in lookup.legs)
         if len(lookup.legs) >= self.terms.legs_most or failed >= ERRORS_MOST or not self.may_send(lookup):
-            return self.give_up(lookup)
+            return self.stuck(lookup)
         if lookup.legs and lookup.legs[-1].outcome != Outcome.MISS:
             last, work = lookup.legs[-1], self.work(lookup)
             cost = storm.cost(last.outcome == Outcome.TURNED_AWAY, self.now - last.sent, work)
             purse = lookup.pool.purse if lookup.pool else self.purse
             if purse.again < cost:
-                return self.give_up(lookup)
+                return self.stuck(lookup)
             purse.again -= cost
         write, pass_by = lookup.use_case.never_kept, self.terms.may_pass_by
         # Seen before the list tells, if it ever does; echoes bring the caches back.
-        lost = self.terms.may_probe and all(cache.unreached for cache in self.caches)
+        lost = self.terms.may_probe and (self.reach.cut or all(cache.unreached for cache in self.caches))
         cache = None if (write or lost) and pass_by else self.choose_cache(lookup)
         if cache is None:
             source = self.origin if write else self.choose_source(lookup, None)[0]
             if source is None or not pass_by or (self.caches and not write and not lost):
-                return self.give_up(lookup)
+                return self.stuck(lookup)
             return self.send(lookup, source, source, False)
         source, held_only = (self.origin, False) if write else self.choose_source(lookup, cache)
         if source is cache or (held_only and source not in self.caches):  # that fell short before?
             if any(leg.outcome == Outcome.MISS and (leg.source is leg.node or leg.source not in self.caches)
                    for leg in lookup.legs):
-                return self.give_up(lookup)
+                return self.stuck(lookup)
         return self.send(lookup, cache, source, held_only)
 
+    def stuck(self, lookup: Lookup) -> None:
+        """No further leg may go: waits for what is out at a node that is reached, else gives up. Guards
+        against a storm in which nodes work for lookups that were given up; harms by late answers."""
+        out = lookup.legs and lookup.legs[-1].outcome is None and not lookup.legs[-1].node.unreached
+        if not out or self.now >= lookup.until - GUARD:
+            self.give_up(lookup)
+
     def send(self, lookup: Lookup, node: Member, source: Member | None, held_only: bool) -> None:
         leg = Leg(lookup, len(lookup.legs), node, source, self.now, lookup.until - self.now)
         leg.bag = self.holds(node, lookup)
@@ -269,6 +286,8 @@
         for member in doubtful:
             member.quiet += sign / len(doubtful)
             self.judge(member, "silent")
+        if sign >= OVERDUE and doubtful == [leg.node]:
+            self.not_reached(leg.node)
         if sign >= OVERDUE and leg is lookup.legs[-1] and lookup.use_case.repeat != EFFECTFUL:
             if self.terms.two_legs:
                 self.route(lookup)
@@ -556,34 +575,47 @@
         if leg.bag or leg.source is None or leg.source is leg.node:
             return self.mark(leg.node, 1.0, why)
         both = (leg.node, leg.source)
-        shares = [(member.health.bins[1] + 0.5) / (sum(member.health.bins) + 1.0) for member in both]
+        shares = [member.health.share() for member in both]
         for member, share in zip(both, shares, strict=True):
             self.mark(member, share / sum(shares), why)
 
     def mark(self, member: Member, bad: float, why: str) -> None:
-        member.health.age(self.now)
-        member.health.bins[1 if bad else 0] += bad or 1.0
-        if sum(member.health.bins) > HEALTH_MOST:
-            member.health.bins = [weight * 0.5 for weight in member.health.bins]
+        member.health.mark(self.now, bad)
         self.judge(member, why)
 
+    def not_reached(self, member: Member) -> None:
+        """One more of the location's caches says nothing: all may be cut off, and a few are asked."""
+        if self.terms.may_probe and self.reach.fails(self.now, member):
+            here = self.terms.directors_here
+            for node in self.reach.asked(pace(here), self.random):
+                self.watch.doubts(node, self.now, here, SOON)
+            self.out.log(f"location cut off: {len(self.reach.failed)} of {len(self.caches)} caches in a row")
+
     def sign_of_life(self, member: Member) -> None:
         member.heard = self.now
+        if (since := self.reach.heard(self.now, member)) is not None:
+            self.out.log(f"location reached again by {member.key:x}")
+            for cache in self.caches:
+                if cache.unreached and cache.shunned_at >= since:
+                    self.take_back(cache)
+                elif not cache.unreached:
+                    self.watch.heard(cache)
         if member.quiet:
             member.quiet = 0.0
             self.judge(member, "")
 
     def judge(self, member: Member, why: str) -> None:
         """Shuns a member that fails too often or has been silent too long; trials bring it back."""
-        good, bad = member.health.bins[:2]
-        sick = member.quiet >= QUIET_MOST or (bad >= SICK_LEAST and bad > SICK_SHARE * (good + bad))
+        sick, health = member.quiet >= QUIET_MOST or member.health.is_bad(), member.health
         if sick != member.shunned:
             member.shunned, member.trial_due = sick, self.now + TRIAL_EVERY
-            member.unreached = sick and why in UNREACHED
+            member.unreached, member.shunned_at = sick and why in UNREACHED, self.now
             if member.unreached:
+                self.not_reached(member)
                 sharers = self.terms.directors if member in self.parents else self.terms.directors_here
                 self.watch.doubts(member, self.now, sharers)
             else:
                 self.watch.heard(member)
             word = f"shunned ({why})" if sick else "taken back"
-            self.out.log(f"{member.key:x} {word}: {bad:.1f} bad, {good:.1f} good, silence {member.quiet:.1f}")
+            self.out.log(f"{member.key:x} {word}: {health.bad:.1f} bad, {health.good:.1f} good, "
+                         f"odds {health.sum:.1f}, silence {member.quiet:.1f}")
--- a/mulleinrelay/spread/verdicts.py
+++ b/mulleinrelay/spread/verdicts.py
@@ -1,4 +1,4 @@
-"""Whether a member's outcomes call it bad: a sequential test beside a share of the last ones; pure, times in ms.
+"""Whether a member's outcomes call it bad: a sequential test beside a share of the last ones; pure, in ms.
 
 With hundreds of directors each meets a member every few seconds, and what it knows of it is a handful of
 outcomes. A share of the last dozen finds a member that always fails, but half-bad ones hide behind the good
@@ -7,8 +7,8 @@
 below nought, so that good ones of long ago excuse nothing.
 
 Error rates, as tests show them: a member that fails once in a thousand is called bad less than once in a
-thousand hours by each director that meets it up to once a second; one that always fails within 4 outcomes,
-half of the time within 15, three times in ten within 40, nineteen times in twenty.
+thousand hours by each director that meets it up to once a second; one that always fails is found within 4
+outcomes, half of the time within 16, three times in ten within 40, each nineteen times in twenty.
 """
 
 import math
@@ -39,7 +39,9 @@
             self.good, self.bad = 0.5 * self.good, 0.5 * self.bad
         faded = self.sum * 0.5 ** min(30.0, (now - self.summed) / FADES)
         self.sum, self.summed = min(CALLED, max(0.0, faded + (bad * BAD_STEP or -GOOD_STEP))), now
-        self.called = self.sum >= CALLED or (self.called and self.sum > CALLED - CLEARED)
+        if self.called and self.sum <= CALLED - CLEARED:
+            self.forget_bad()
+        self.called = self.called or self.sum >= CALLED
 
     def forget_bad(self) -> None:
         """What was bad is disproven."""
--- a/mulleinrelay/spread/watching.py
+++ b/mulleinrelay/spread/watching.py
@@ -16,6 +16,11 @@
 UNWATCHED = 30_000.0  # a director with hardly a lookup still asks once in so long
 
 
+def pace(sharers: int) -> float:
+    """How often one director asks a doubted node that so many share."""
+    return max(ECHO_LEAST, ECHO_EACH * sharers)
+
+
 class Watch:
     """One director's questions."""
 
@@ -32,11 +37,13 @@
     def looked_up(self) -> None:
         self.earned = min(REPORTS_MOST, self.earned + self.earns)
 
-    def doubts(self, node: Hashable, now: float, sharers: int) -> None:
-        """It is not reached any more: it is asked for an echo until it answers. `sharers`: directors that may
-        ask it."""
-        every = max(ECHO_LEAST, ECHO_EACH * sharers)
-        self.echoes.setdefault(node, (now + every * (0.25 + 0.75 * self.random.random()), every))
+    def doubts(self, node: Hashable, now: float, sharers: int, within: float = math.inf) -> None:
+        """It is not reached any more: it is asked for an echo until it answers, first `within` so long.
+        `sharers`: directors that may ask it."""
+        every = pace(sharers)
+        first = min(within, every) * (0.25 + 0.75 * self.random.random())
+        if node not in self.echoes or first < self.echoes[node][0] - now:
+            self.echoes[node] = now + first, every
 
     def heard(self, node: Hashable) -> None:
         self.echoes.pop(node, None)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -158,7 +158,7 @@
         fleet.answer(lookup.legs[0], outcome, Note.NONE)
         if another is not None:
             fleet.answer(lookup.legs[1], another)
-    assert cache.health.bins[1] == weight
+    assert cache.health.bad == weight
     assert all(lookup.ended for lookup in lookups) or another is None
 
 
