--- a/mulleinrelay/lab/fleet/play.py
+++ b/mulleinrelay/lab/fleet/play.py
@@ -43,14 +43,18 @@
         self.log_path = os.path.join(lab.folder, f"n{number}.log")
         self.process: subprocess.Popen | None = None
         self.cpu_before = 0.0
+        self.step = lab.steps.get(number)  # ms that its wall clock is to be stepped by
 
     def begin(self) -> None:
+        program = ["mulleinrelay"]
+        if self.step is not None:
+            program = ["mulleinrelay.lab.fleet.stepped", str(self.step)]
         environment = os.environ | {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": self.lab.program}
         for name in ("MULLEINRELAY_CELLS", "MULLEINRELAY_MANAGEMENT"):
             environment.pop(name, None)
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "mulleinrelay", "serve", "--config", self.path],
+                [sys.executable, "-m", *program, "serve", "--config", self.path],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -113,6 +117,12 @@
         os.makedirs(self.folder, exist_ok=True)
         self.port, self.datagram_port = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_DGRAM)
         self.helpers: list[Helper] = []
+        self.steps = {
+            number: strike.fault.by
+            for strike in scenario.strikes()
+            if strike.what == "clock"
+            for number in strike.directors
+        }
         self.directors: list[Director] = []
         self.told = {"asked": 0, "satisfied": 0}
         self.ended, self.broken = threading.Event(), ""
@@ -389,6 +399,8 @@
         elif strike.what == "kill":
             director.begin()
             self._up(director)
+        elif strike.what == "clock" and strike.begins:
+            director.signal(signal.SIGUSR1)
         elif strike.what == "restart" and strike.begins:
             self._thread(lambda: self._restart(director))
 
--- a/mulleinrelay/model/world.py
+++ b/mulleinrelay/model/world.py
@@ -406,7 +406,7 @@
         elif what == "kill":
             self.directors[number] = self.make(number)
             self.away.discard(number)
-        elif begins:  # a restart: its open lookups end, then it stands there anew
+        elif begins and what == "restart":  # its open lookups end, then it stands there anew
             self.heard.others["term"].append((self.since(), number))
             for lookup in list(director.open):
                 director.play("woken", lookup)
--- a/mulleinrelay/spread/popularity.py
+++ b/mulleinrelay/spread/popularity.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Hashable
 
-HOT_SHARE, HOT_LEAST = 0.02, 3.0  # share of recent lookups, and sightings, for an object at one more cache
+HOT_SHARE, HOT_LEAST = 0.02, 4.0  # share of recent lookups, and sightings, for an object at one more cache
 SPAN, SPANS_MOST = 10_000.0, 3  # counted over spans, the last one at half weight; a long one
 
 
