A director short of CPU or links takes in effects first, and idle links make room

Survivors of a kill may be bound by their share of a core or by links and not by places. Timers that come late (400 ms count as full, forgotten within 0.1 s halvings, so that one stop turns nobody away for long) and links with legs out now count like places: what has an effect comes in, then by credit, the rest is told at once when to come back. At the bound idle links to other nodes are ended: a test on sockets gets no link for an order without it. Decided in spread/admission.py, pure.

--- a/mulleinrelay/facade.py
+++ b/mulleinrelay/facade.py
@@ -17,6 +17,7 @@
 from .interface import Leg, Listing, Lookup, Note, Order, Outcome, Place, Pool, State, Terms, UseCase
 from .log import Log
 from .policy import Director, Member
+from .spread.admission import Lateness
 
 ANSWER_SLACK = 8.0  # a lookup without a verdict so long after its client's time is broken off by the caller
 
@@ -85,6 +86,7 @@
         self.intent: Intent | None = None  # what staff want over the list
         self.timers: list[tuple[float, int, str, Lookup | Leg]] = []
         self.timer_count, self.resting_until = 0, 0.0
+        self.lateness = Lateness()
         self.probes: list[tuple[Member, Place]] = []
         self.called_off: list[Leg] = []
         self.calls: list[tuple[str, tuple[Any, ...]]] = []
@@ -153,6 +155,10 @@
     def open_lookups(self) -> int:
         return len(self.lives)
 
+    def short_of_time(self) -> float:
+        """0 where timers come when they are due, near 1 where this director is itself what is late."""
+        return self.lateness.fullness(self.clock())
+
     def ready_caches(self) -> list[tuple[str, Member, float]]:
         """Those of this location by name, each with the share of its capacity that it has at the least."""
         with self.lock:
@@ -235,6 +241,8 @@
         be picked for."""
         with self.lock:
             now, moved = self.clock(), {}
+            if self.timers and self.timers[0][0] <= now:
+                self.lateness.note(now, now - self.timers[0][0])
             while self.timers and self.timers[0][0] <= now:
                 _, _, what, about = heapq.heappop(self.timers)
                 lookup = about if isinstance(about, Lookup) else about.lookup
--- a/mulleinrelay/net/caches.py
+++ b/mulleinrelay/net/caches.py
@@ -25,6 +25,7 @@
 
 OVER_FOR = 10_000.0  # ms for which an answer to a leg that was given up may still come
 ECHO_WAIT = 100.0  # ms from asking a link for an echo to its end
+IDLE_SHARE = 0.75  # of the links at the most; where there are more, idle ones make room
 PROBE_WAIT = 1000.0  # ms after which a probe without an answer is forgotten
 
 
@@ -147,6 +148,21 @@
         for leg in stuck:
             self._report(leg, Outcome.UNCONNECTED)
 
+    def fullness(self) -> float:
+        """Of the links that there may be, the part that legs are out on."""
+        with self.lock:
+            if self.count < IDLE_SHARE * self.links_most:
+                return 0.0
+            return sum(bool(link.open) for links in self.links.values() for link in links) / self.links_most
+
+    def _make_room(self) -> None:
+        """Under the lock. Ends the links that have been idle for longest, where there are too many: held for
+        what may come, they would keep legs to other nodes from any link at all."""
+        over = self.count - int(IDLE_SHARE * self.links_most)
+        idle = [link for links in self.links.values() for link in links if not link.open] if over > 0 else []
+        for link in sorted(idle, key=lambda link: link.used)[:max(0, over)]:
+            link.outlet.end()
+
     def stop(self) -> None:
         with self.lock:
             self.stopped = True
@@ -162,8 +178,10 @@
             links = self.links.setdefault(place, [])
             link = min((link for link in links if link.takes(about, self.legs_a_connection)),
                        key=lambda link: len(link.open), default=None)
-            if link is None and self.count < self.links_most and not self.stopped:
-                link = self._connect(place, links, now)
+            if link is None and not self.stopped:
+                self._make_room()
+                if self.count < self.links_most:
+                    link = self._connect(place, links, now)
             if link is not None:
                 link.open[about], link.used = held, now
                 link.held_for = self.held_for[held.node.kind in self.far]
--- a/mulleinrelay/net/front.py
+++ b/mulleinrelay/net/front.py
@@ -289,7 +289,9 @@
             pool = getattr(grant, "pool", None)
             if pool is None:
                 return self._turn_away(client, call.number, grant.come_back, grant.harmless)
-        room = self.places.has_room(use_case, asked.repeated, self.facade.open_lookups(), self.lookups_most)
+        fullness = max(self.facade.open_lookups() / self.lookups_most, self.facade.short_of_time(),
+                       self.caches.fullness())
+        room = self.places.has_room(use_case, asked.repeated, fullness)
         lookup = self.facade.take(
             use_case, int(asked.object, 16), int(asked.part), asked.group, asked.size,
             min(asked.left, use_case.client_timeout), asked.repeated,
--- a/mulleinrelay/spread/admission.py
+++ b/mulleinrelay/spread/admission.py
@@ -1,20 +1,41 @@
-"""Which lookups a director lets in when it is itself the bound, after most others have died; pure.
+"""Which lookups a director lets in when it is itself the bound, after most others have died; pure, in ms.
 
-Its places are what it can see through at one time. All use cases share them until they run short; the last
-are kept for those whose lookups have an effect, and then by credit, so that what is worth little or has been
-asked before does not starve the rest. What finds no place is pushed back at once.
+Its bounds are the lookups that its memory can hold at one time, its links, and its share of a core, whose
+lack shows as timers that come late. All use cases share what there is until it runs short; the last is kept
+for those whose lookups have an effect, and then by credit, so that what is worth little or has been asked
+before does not starve the rest. What finds no place is pushed back at once.
 """
 
 from collections.abc import Iterable
 
 from ..interface import PURE, UseCase
 
+LATE_FULL = 400.0  # of a timer, by which a director has no more time to spare than it has places
+LATE_HALVING, LATE_MOST = 100.0, 0.99  # of a reading; what has an effect comes in however late it is
 KEPT = 0.125  # of the places, at each step, for those above it
 STEPS_MOST = 4  # half of the places are open to all
 
 
+class Lateness:
+    """How late this director is by itself: it has not enough of a core, or was stopped."""
+
+    def __init__(self) -> None:
+        self.level, self.at = 0.0, 0.0
+
+    def note(self, now: float, late: float) -> None:
+        """A timer was due so long ago. One reading counts no longer than one that fills it: after a stop all
+        is soon well again."""
+        self.level, self.at = max(min(late, LATE_FULL), self.left(now)), now
+
+    def left(self, now: float) -> float:
+        return self.level * 0.5 ** min(60.0, max(0.0, now - self.at) / LATE_HALVING)
+
+    def fullness(self, now: float) -> float:
+        return min(LATE_MOST, self.left(now) / LATE_FULL)
+
+
 class Places:
-    """How many places lookups of each use case may fill."""
+    """How full a director may be for lookups of each use case."""
 
     def __init__(self, use_cases: Iterable[UseCase]) -> None:
         cases = list(use_cases)
@@ -23,10 +44,11 @@
         self.steps = {case: first + credits.index(case.credit) if case.repeat == PURE else 0
                       for case in cases}
 
-    def has_room(self, use_case: UseCase, repeated: bool, taken: int, places: int) -> bool:
-        """Whether a lookup may come in. `repeated`: its client has asked before, so that its goal has passed
+    def has_room(self, use_case: UseCase, repeated: bool, fullness: float) -> bool:
+        """Whether a lookup may come in. `fullness`: of what the director is shortest of, 1 and above: none is
+        left. `repeated`: its client has asked before, so that its goal has passed
         or is near; that counts as a step less where nothing depends on its running once."""
         step = self.steps[use_case]
         if repeated and use_case.repeat == PURE:
             step += 1
-        return taken < places * (1.0 - KEPT * min(step, STEPS_MOST))
+        return fullness < 1.0 - KEPT * min(step, STEPS_MOST)
--- a/tests/spread/test_admission.py
+++ b/tests/spread/test_admission.py
@@ -1,7 +1,7 @@
 import pytest
 
 from mulleinrelay.interface import EFFECTFUL, PURE, RECEIPTED, UseCase
-from mulleinrelay.spread.admission import Places
+from mulleinrelay.spread.admission import LATE_FULL, Lateness, Places
 
 
 def case(repeat=PURE, credit=1.0):
@@ -17,19 +17,19 @@
     (PAGES, False, 59), (PAGES, True, 49)])
 def test_the_last_places_are_kept_for_effects_and_then_by_credit(use_case, repeated, last):
     places = Places(ALL)
-    assert [places.has_room(use_case, repeated, taken, 80) for taken in (last, last + 1)] == [True, False]
+    assert [places.has_room(use_case, repeated, taken / 80) for taken in (last, last + 1)] == [True, False]
 
 
 @pytest.mark.parametrize("cases", [[PAGES], [case(), case()], [ORDER, PAY]])
 def test_equals_share_all_places(cases):
     places = Places(cases)
-    assert all(places.has_room(held, False, 79, 80) and not places.has_room(held, False, 80, 80)
+    assert all(places.has_room(held, False, 79 / 80) and not places.has_room(held, False, 1.0)
                for held in cases)
 
 
 def test_half_of_the_places_are_open_to_all():
     cases = [case(credit=credit) for credit in range(1, 12)] + [ORDER]
-    assert all(Places(cases).has_room(held, True, 39, 80) for held in cases)
+    assert all(Places(cases).has_room(held, True, 39 / 80) for held in cases)
 
 
 def test_orders_find_room_in_a_flood_of_pages():
@@ -37,7 +37,20 @@
     places, taken, orders = Places(ALL), 0, 0
     for number in range(800):
         use_case = ORDER if number % 100 == 99 else PAGES
-        if places.has_room(use_case, False, taken, 80):
+        if places.has_room(use_case, False, taken / 80):
             taken += 1
             orders += use_case is ORDER
     assert orders == 8
+
+
+@pytest.mark.parametrize("late, after, pages, orders", [
+    (0.0, 0.0, True, True), (0.5 * LATE_FULL, 0.0, True, True), (0.9 * LATE_FULL, 0.0, False, True),
+    (12.0 * LATE_FULL, 0.0, False, True),  # stopped for seconds
+    (12.0 * LATE_FULL, 100.0, True, True)])
+def test_a_late_director_takes_in_effects_and_is_soon_itself_again(late, after, pages, orders):
+    """Guards orders against a director that is short of CPU, and against one stop that turns all away."""
+    lateness, places = Lateness(), Places(ALL)
+    lateness.note(1000.0, late)
+    lateness.note(1001.0, 0.0)
+    full = lateness.fullness(1001.0 + after)
+    assert (places.has_room(PAGES, False, full), places.has_room(ORDER, False, full)) == (pages, orders)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -453,6 +453,35 @@
         assert len(origin.connections) == 3  # two legs each
 
 
+def test_idle_links_make_room_for_legs_to_other_nodes():
+    # Guards against a director at its bound of links whose links are all held for what may come, elsewhere.
+    with Running(HIT) as director:
+        director.service.caches.links_most = 3
+        caller = director.caller()
+        for number in range(40):
+            caller.send(entity=f"{number:016x}")
+            caller.answer()
+        assert director.service.caches.count >= 2  # to caches
+        for _ in range(4):
+            caller.send("order")
+            if caller.answer()[1] == 0:
+                break
+            time.sleep(0.05)  # the link that makes room is on its way out
+        else:
+            raise AssertionError("no link was to be had")
+
+
+@pytest.mark.parametrize("late, pages", [(0.0, 0), (5000.0, 1)])
+def test_a_director_that_is_late_itself_takes_in_what_has_an_effect(late, pages):
+    with Running(HIT) as director:
+        caller, facade = director.caller(), director.service.facade
+        facade.lateness.note(facade.clock() + (60_000.0 if late else 0.0), late)
+        caller.send()
+        assert caller.answer()[1] == pages
+        caller.send("order")
+        assert caller.answer()[1] == 0
+
+
 def test_two_legs_of_one_lookup_at_one_node_are_told_apart():
     # Guards against the late answer to a leg given up being taken for that of the next leg under the same id.
     with Running(lambda fields: None) as director:
