--- a/mulleinrelay/lab/fleet/play.py
+++ b/mulleinrelay/lab/fleet/play.py
@@ -43,9 +43,12 @@
         self.log_path = os.path.join(lab.folder, f"n{number}.log")
         self.process: subprocess.Popen | None = None
         self.cpu_before = 0.0
+        self.ended_by_us = False
+        self.lives = 0  # starts so far: who waits for one must not tell of the next
         self.step = lab.steps.get(number)  # ms that its wall clock is to be stepped by
 
     def begin(self) -> None:
+        self.lives, self.ended_by_us = self.lives + 1, False
         program = ["mulleinrelay"]
         if self.step is not None:
             program = ["mulleinrelay.lab.fleet.stepped", str(self.step)]
@@ -387,6 +390,7 @@
             if strike.what == "kill" and strike.begins:  # all at once, then they are seen to
                 for director in met:
                     self.stopped.add(director.number)
+                    director.ended_by_us = True
                     director.signal(signal.SIGKILL)
             for director in met:
                 self._on_director(strike, director)
@@ -415,14 +419,19 @@
             self.records.add("again", now_ms(), director.number)
 
     def _up(self, director: Director) -> None:
+        life = director.lives
+
         def wait() -> None:
             end = time.monotonic() + READY_WITHIN
             while not self.ended.is_set() and time.monotonic() < end:
                 try:
                     if director.ready():
-                        self.stopped.discard(director.number)
+                        if director.lives == life and not director.ended_by_us:
+                            self.stopped.discard(director.number)
                         return
                 except RuntimeError as wrong:
+                    if director.lives != life or director.ended_by_us:  # killed again meanwhile
+                        return
                     return self.records.add("crash", now_ms(), director.number, -1, str(wrong))
                 time.sleep(0.05)
 
--- a/mulleinrelay/spread/verdicts.py
+++ b/mulleinrelay/spread/verdicts.py
@@ -14,7 +14,7 @@
 import math
 
 HALVING, MOST = 16_000.0, 12.0  # of the counts, and their sum at the most
-LEAST, SHARE = 1.5, 0.3  # bad outcomes, and their share, that call a member bad at once
+LEAST, SHARE = 1.5, 0.4  # bad outcomes, and their share, that call a member bad at once
 GOOD, BAD = 0.01, 0.4  # shares of bad outcomes that the test tells apart
 BAD_STEP, GOOD_STEP = math.log(BAD / GOOD), math.log((1.0 - GOOD) / (1.0 - BAD))
 CALLED = 10.0  # odds, as a logarithm, at which the sum calls it bad
