--- /dev/null
+++ b/mulleinrelay/membership/view.py
@@ -0,0 +1,184 @@
+"""What one director believes of the others, and which words it still has to pass on; pure, times in ms.
+
+Words merge by weight alone (life, denials, state), so that their order, their number and their way do not
+matter. What has gone is remembered for a while: an old word about it must not bring it back.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from .messages import State, Word
+
+Who = tuple[str, str, int]
+TOLD = 2.0  # times a word is passed on, by log2 of the fleet
+REMEMBERED = 120_000.0  # of one that has died or left
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    word: Word
+    since: float  # of this state
+    doubters: set[Who] = field(default_factory=set)  # who said so, of a suspicion
+    heard: float = 0.0  # last datagram of its own
+    checks: int = 0  # times that it was asked before it counts as dead
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """A change that staff are told: joined, alive again, suspected, died, left, started again, two of one
+    name, forgotten, denied, late."""
+
+    what: str
+    word: Word
+
+
+class View:
+    """All records but the own, at most `most`."""
+
+    def __init__(self, own: Word, most: int, random: Random) -> None:
+        self.own, self.most, self.random = own, most, random
+        self.records: dict[Who, Record] = {}
+        self.telling: dict[Who, list[float]] = {}  # words still to be passed on: how often each was
+        self.events: list[Event] = []
+        self.refused = 0  # words on directors for which there is no room
+
+    def size(self) -> int:
+        """Of the fleet as far as it counts: alive or suspected, this one included."""
+        return 1 + sum(record.word.state <= State.SUSPECT for record in self.records.values())
+
+    def present(self) -> list[Word]:
+        return [record.word for record in self.records.values() if record.word.state <= State.SUSPECT]
+
+    def merge(self, now: float, word: Word, by: Who) -> bool:
+        """Whether it is news. `by`: who says so."""
+        if word.who == self.own.who:
+            return self._of_self(word)
+        record = self.records.get(word.who)
+        if record is None:
+            return self._new(now, word, by)
+        before = record.word
+        if word.weight < before.weight:
+            return False
+        if word.weight == before.weight:
+            if word.state == State.SUSPECT and by not in record.doubters:
+                record.doubters.add(by)  # one more who says so: it counts as dead the sooner
+                self.tell(word.who)
+                return True
+            return False
+        record.word = word
+        if word.state != before.state or word.life != before.life:
+            record.checks = 0
+            record.since, record.doubters = now, {by} if word.state == State.SUSPECT else set()
+            self._say(before, word)
+        self.tell(word.who)
+        return True
+
+    def _new(self, now: float, word: Word, by: Who) -> bool:
+        if word.state >= State.DEAD:  # never heard of, and gone already
+            return False
+        if len(self.records) >= self.most and not self._make_room():
+            self.refused += 1
+            return False
+        same = [other for other in self.records.values()
+                if other.word.name == word.name and other.word.state <= State.SUSPECT]
+        self.records[word.who] = Record(word, now, {by} if word.state == State.SUSPECT else set())
+        self.events.append(Event("joined", word))
+        if same or word.name == self.own.name:
+            self.events.append(Event("two of one name", word))
+        self.tell(word.who)
+        return True
+
+    def _make_room(self) -> bool:
+        gone = [who for who, record in self.records.items() if record.word.state >= State.DEAD]
+        if gone:
+            self.forget(min(gone, key=lambda who: self.records[who].since))
+        return bool(gone)
+
+    def _of_self(self, word: Word) -> bool:
+        """What others say of this director: a doubt is denied; a greater life is outlived, as it is one of
+        its own from before a restart with a clock that was ahead."""
+        own = self.own
+        if word.life > own.life:
+            self.own = Word(own.name, own.host, own.port, own.location, word.life + 1, 0, own.state)
+        elif word.life == own.life and word.state > State.ALIVE and own.state == State.ALIVE \
+                and word.count >= own.count:
+            self.own = Word(own.name, own.host, own.port, own.location, own.life, word.count + 1, own.state)
+            self.events.append(Event("denied", self.own))
+        else:
+            return False
+        self.tell(self.own.who)
+        return True
+
+    def _say(self, before: Word, word: Word) -> None:
+        if word.life != before.life and word.state <= State.SUSPECT:
+            what = "started again"
+        else:
+            what = {State.ALIVE: "alive again", State.SUSPECT: "suspected", State.DEAD: "died",
+                    State.LEFT: "left"}[word.state]
+        if not (what == "alive again" and before.state == State.ALIVE):
+            self.events.append(Event(what, word))
+
+    def judge(self, now: float, who: Who, state: State) -> None:
+        """This director's own word on another of the same life and count."""
+        held = self.records[who].word
+        self.merge(now, Word(held.name, held.host, held.port, held.location, held.life, held.count, state),
+                   self.own.who)
+
+    def forget(self, who: Who) -> None:
+        self.records.pop(who, None)
+        self.telling.pop(who, None)
+
+    def age(self, now: float) -> None:
+        """What has long gone is forgotten."""
+        for who, record in list(self.records.items()):
+            if record.word.state >= State.DEAD and now > record.since + REMEMBERED:
+                self.events.append(Event("forgotten", record.word))
+                self.forget(who)
+
+    # What is passed on
+
+    def tell(self, who: Who) -> None:
+        self.telling[who] = [0.0]
+
+    def word_of(self, who: Who) -> Word | None:
+        if who == self.own.who:
+            return self.own
+        record = self.records.get(who)
+        return record.word if record else None
+
+    def to_tell(self, count: int, first: Iterable[Who] = ()) -> list[Word]:
+        """So many words, those of `first` before others, then what was told least. Each is told some log2 of
+        the fleet times."""
+        often = math.ceil(TOLD * math.log2(self.size() + 1))
+        ranked = sorted(self.telling, key=lambda who: self.telling[who][0])
+        chosen = list(dict.fromkeys([*first, *ranked]))[:count]
+        found = []
+        for who in chosen:
+            if (word := self.word_of(who)) is not None:
+                found.append(word)
+            if who in self.telling:
+                self.telling[who][0] += 1.0
+                if self.telling[who][0] >= often or word is None:
+                    del self.telling[who]
+        return found
+
+    def page(self, count: int) -> list[Word]:
+        """So many of all that is known, drawn at random."""
+        known = list(self.records.values())
+        return [record.word for record in self.random.sample(known, min(count, len(known)))]
+
+    def digest(self) -> int:
+        """The same for the same knowledge, whatever the order it came in."""
+        total = 0
+        for word in [self.own, *(record.word for record in self.records.values()
+                                 if record.word.state <= State.SUSPECT)]:
+            total ^= hash_of(word)
+        return total
+
+
+def hash_of(word: Word) -> int:
+    text = f"{word.name}|{word.host}|{word.port}|{word.life}|{word.count}|{int(word.state)}"
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest(), "big")
