--- a/mulleinrelay/cli.py
+++ b/mulleinrelay/cli.py
@@ -10,7 +10,7 @@
 
 DONE, NOT_STARTED, BAD_CONFIGURATION, MISUSED, REFUSED = 0, 1, 2, 2, 3
 GROUPS = {"cells": "mulleinrelay.cells.commands", "ctl": "mulleinrelay.management.ctl",
-          "lab": "mulleinrelay.lab.commands"}
+          "lab": "mulleinrelay.lab.commands", "fleet": "mulleinrelay.membership.commands"}
 
 
 EXTRAS = {"ctl": "management"}
@@ -53,24 +53,30 @@
                           help="Our own file, as deploy/management.ini (default: $MULLEINRELAY_MANAGEMENT).")
 
 
+FLEET = click.option("--fleet", metavar="FILE", envvar="MULLEINRELAY_FLEET",
+                     help="Our own file, as deploy/fleet.ini (default: $MULLEINRELAY_FLEET; none: off).")
+
+
 @main.command()
 @CONFIG
 @CELLS
 @MANAGEMENT
-def serve(config: str | None, cells: str | None, management: str | None) -> None:
+@FLEET
+def serve(config: str | None, cells: str | None, management: str | None, fleet: str | None) -> None:
     """Run one director until SIGTERM; SIGHUP reads the configuration again."""
     from .serving import serve
-    sys.exit(serve(config, cells, management))
+    sys.exit(serve(config, cells, management, fleet))
 
 
 @main.command()
 @CONFIG
 @CELLS
 @MANAGEMENT
-def check(config: str | None, cells: str | None, management: str | None) -> None:
+@FLEET
+def check(config: str | None, cells: str | None, management: str | None, fleet: str | None) -> None:
     """Read the configurations and say what is wrong with them."""
     from .configuration import ConfigurationError, from_environment
-    if (cells is None and management is None) or config or os.environ.get("LB_CONFIG"):
+    if (cells is None and management is None and fleet is None) or config or os.environ.get("LB_CONFIG"):
         try:
             start = from_environment(os.environ, config)
         except ConfigurationError as wrong:
@@ -100,6 +106,15 @@
             faulty(str(wrong))
         click.echo(f"management: {'on' if managed.enabled else 'off'}, {managed.listen}, "
                    f"{'TLS' if managed.certificate else 'no TLS'}, {len(managed.rights.by_name)} roles")
+    if fleet is not None:
+        from .cells.charter import CharterError
+        from .membership.own import load_own as load_fleet
+        try:
+            talked = load_fleet(fleet)
+        except CharterError as wrong:
+            faulty(str(wrong))
+        click.echo(f"fleet: {'on' if talked.enabled else 'off'}, {talked.fleet}, heard at "
+                   f"{talked.announce[0]}:{talked.announce[1]}, {len(talked.seeds)} seeds")
 
 
 @main.command()
--- a/mulleinrelay/lab/fleet/plan.py
+++ b/mulleinrelay/lab/fleet/plan.py
@@ -44,7 +44,7 @@
     over: float = 0.0  # s over which a restart or a return is spread
     seen_by: float = 1.0  # share of the directors to whom a node shows it
     nodes: tuple[str, ...] = ()
-    other: str = ""  # the location that load shifts to
+    other: str = ""  # the location that load shifts to, or whose directors are at the other end of a path
 
 
 @dataclass(slots=True)
@@ -80,6 +80,8 @@
     one_seed: bool = False  # all directors with one seed: a planted herd
     uneven: float = 1.0  # spread of the directors' load, as of a log-normal law
     least: float = 0.1  # lookups a second that the least asked director gets at the least
+    talk: bool = False  # directors talk to each other, by way of the relay
+    share: bool = False  # and lend each other parts of what cold nodes may be sent
     memory_mb: float = 96.0
     sockets: int = 1024
     locations: tuple[str, ...] = ("north", "south")
@@ -184,6 +186,8 @@
                 site.name for site in self.sites() if site.kind == BOX and fault.location in ("", site.place)
             ]
             nodes = tuple(sorted(draw.sample(boxes, max(1, round(fault.share * len(boxes))))))
+        if fault.what in ON_PATHS and fault.other:  # between directors of two locations alone
+            nodes = tuple(str(director) for director in self.here(fault.other))
         if fault.what in ON_NODES:
             met = tuple(sorted(draw.sample(range(self.directors), round(fault.seen_by * self.directors))))
         if fault.what in ("restart", "kill") and fault.over > 0.0:
@@ -260,6 +264,8 @@
         relays=lab.whole("relay_processes", plain.relays, 16) or 1,
         directors=directors.whole("count", plain.directors, DIRECTORS_MOST) or 1,
         one_seed=directors.flag("one_seed", False),
+        talk=directors.flag("talk", False),
+        share=directors.flag("share", False),
         uneven=directors.number("uneven", plain.uneven, 3.0),
         least=directors.number("least_rate", plain.least, 1e3),
         memory_mb=directors.number("memory_mb", plain.memory_mb, 4096.0, 32.0),
@@ -321,6 +327,8 @@
                 raise keys.fault(key, f"no location {place!r}")
         if strange := sorted(set(fault.nodes) - names):
             raise keys.fault("nodes", f"no node {strange[0]!r}")
+        if fault.what in ON_PATHS and fault.other and fault.paths != ("director",):
+            raise keys.fault("other", "of a path it goes with paths = director")
         if fault.what == "shift" and not (fault.location and fault.other):
             raise keys.fault("other", "a shift wants `location` and `other`")
         if fault.at + fault.span > scenario.seconds:
--- a/mulleinrelay/lab/fleet/play.py
+++ b/mulleinrelay/lab/fleet/play.py
@@ -49,15 +49,17 @@
 
     def begin(self) -> None:
         self.lives, self.ended_by_us = self.lives + 1, False
-        program = ["mulleinrelay"]
+        program, more = ["mulleinrelay"], []
         if self.step is not None:
             program = ["mulleinrelay.lab.fleet.stepped", str(self.step)]
+        if self.lab.scenario.talk:
+            more = ["--fleet", self.lab.path(f"n{self.number}.ini")]
         environment = os.environ | {"MALLOC_ARENA_MAX": "2", "PYTHONPATH": self.lab.program}
-        for name in ("MULLEINRELAY_CELLS", "MULLEINRELAY_MANAGEMENT"):
+        for name in ("MULLEINRELAY_CELLS", "MULLEINRELAY_MANAGEMENT", "MULLEINRELAY_FLEET"):
             environment.pop(name, None)
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", *program, "serve", "--config", self.path],
+                [sys.executable, "-m", *program, "serve", "--config", self.path, *more],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -241,6 +243,9 @@
             }
             with open(director.path, "wb") as file:
                 file.write(orjson.dumps(whole))
+            if scenario.talk:
+                with open(self.path(f"n{number}.ini"), "w", encoding="utf-8") as file:
+                    file.write(self._talk_file(number))
         self.began_starting = time.monotonic()
         waiting, coming = list(self.directors), list[Director]()
         while waiting or coming:
@@ -255,6 +260,15 @@
             time.sleep(0.02)
         self.ready_after = time.monotonic() - self.began_starting
 
+    def _talk_file(self, number: int) -> str:
+        """Three directors are asked first; records lie beside the lab's."""
+        port, place = self.datagram_port, self.scenario.location_of(number)
+        seeds = " ".join(f"{addresses.peer(seed)}:{port}" for seed in range(min(3, self.scenario.directors)))
+        return (f"[fleet]\nenabled = yes\nname = lab\nkey = lab-{port:08}\nlocation = {place}\n"
+                f"listen = {addresses.own(number)}:{port}\nannounce = {addresses.peer(number)}:{port}\n"
+                f"seeds = {seeds}\nrecords = fleet\n"
+                f"[budgets]\ncold = {'yes' if self.scenario.share else 'no'}\n")
+
     def _thread(self, run: Callable[[], None]) -> None:
         thread = threading.Thread(target=run, daemon=True)
         self.threads.append(thread)
--- /dev/null
+++ b/mulleinrelay/membership/talk.py
@@ -0,0 +1,165 @@
+"""The thread that talks to other directors: a datagram socket, the pure core, log lines and records. No
+lookup ever waits for it."""
+
+import math
+import socket
+import threading
+import time
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+from ..cells.records import Records
+from ..facade import Facade
+from ..log import Log
+from .detector import Membership
+from .messages import LENGTH_MOST, Codec, State, Word
+from .own import OwnFile
+
+if TYPE_CHECKING:
+    from ..budgets.exchange import Exchange
+
+RECORDS_EVERY = 1_000.0  # ms
+EVENTS_KEPT = 200  # changes that a director remembers for staff
+LONGEST = 0.5  # s that the socket is waited for: after that the time is looked at in any case
+TOGETHER = 64  # datagrams read before the time is looked at again
+
+
+def share_cold(own: OwnFile, facade: Facade, seed: int, life: int, offset: float) -> "Exchange":
+    """The limits on cold caches of this location, and on cold parents, as rights that are lent."""
+    from ..budgets.exchange import Exchange  # only where it is on
+
+    director, terms, now = facade.director, facade.terms, _now()
+    exchange = Exchange(now, Random(f"{seed}-rights"), life, offset, facade.lock)
+    exchange.add(now, f"cold caches of {own.location}", terms.directors_here, terms.cold_cache.span,
+                 director.cold_here, own.location)
+    exchange.add(now, "cold parents", terms.directors, terms.cold_parent.span, director.cold_parents, "")
+    return exchange
+
+
+class Talk:
+    def __init__(self, own: OwnFile, name: str, seed: int, clock: Callable[[], float], log: Log,
+                 facade: Facade | None = None) -> None:
+        """`clock`: Unix milliseconds, read once for the number of this life; the rest goes by another."""
+        self.own, self.name, self.log = own, name, log
+        word = Word(name, own.announce[0], own.announce[1], own.location, int(clock()), 0, State.ALIVE)
+        self.lock = threading.Lock()
+        self.core = Membership(_now(), word, Codec(own.fleet, own.key), own.seeds,
+                               Random(f"{seed}-membership"), own.members_most)
+        if own.share_cold and facade is not None:
+            self.core.companion = share_cold(own, facade, seed, word.life, clock() - _now())
+        self.records = Records(own.records, name) if own.records else None
+        self.records_due, self.told, self.last = 0.0, [], []
+        self.bytes_out = self.bytes_in = 0
+        self.ended = threading.Event()
+        self.thread: threading.Thread | None = None
+        self.socket: socket.socket | None = None
+
+    def begin(self) -> None:
+        """Raises OSError where it can't listen."""
+        made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            made.bind(self.own.listen)
+        except OSError as wrong:
+            made.close()
+            wrong.filename = f"{self.own.listen[0]}:{self.own.listen[1]} for datagrams"
+            raise
+        self.socket = made
+        self.thread = threading.Thread(target=self._run, name="fleet", daemon=True)
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Tells some of the others that this one leaves, and ends."""
+        if self.ended.is_set() or self.socket is None:
+            return
+        self.ended.set()
+        with self.lock:
+            out = self.core.leave(_now())
+        self._send(out)
+        self._keep(_now(), math.inf)
+        self.thread.join(2.0 * LONGEST)
+        self.socket.close()
+
+    def present(self) -> list[Word]:
+        """This director and all others that are alive, or suspected."""
+        with self.lock:
+            return self.core.present()
+
+    # In a thread of its own
+
+    def _run(self) -> None:
+        while not self.ended.is_set():
+            try:
+                self._step()
+            except Exception as broken:
+                self.log.fault("fleet", broken)
+                self.ended.wait(0.1)
+
+    def _step(self) -> None:
+        with self.lock:
+            self._send(self.core.tick(now := _now()))
+            wait = (self.core.wake() - now) / 1000.0
+        self._keep(now, self.records_due)
+        self.socket.settimeout(min(LONGEST, max(0.002, wait)))
+        for _ in range(TOGETHER):
+            try:
+                data, address = self.socket.recvfrom(LENGTH_MOST + 1)
+            except (TimeoutError, BlockingIOError):
+                return
+            except OSError as broken:  # an answer that a port refused comes back as an error here
+                if self.ended.is_set():
+                    return
+                if not isinstance(broken, ConnectionError):
+                    raise
+                continue
+            self.bytes_in += len(data)
+            with self.lock:
+                self._send(self.core.receive(_now(), address, data))
+            self.socket.settimeout(0.0)
+
+    def _send(self, out: list[tuple[tuple[str, int], bytes]]) -> None:
+        for address, data in out:
+            try:
+                self.socket.sendto(data, address)
+                self.bytes_out += len(data)
+            except OSError:  # no way there, or the system is short of buffers: as if it were lost
+                pass
+
+    def _keep(self, now: float, due: float) -> None:
+        """Log lines of what has changed, and now and then the records."""
+        with self.lock:
+            events = self.core.take_events()
+        for event in events:
+            text = f"{event.word.name} {event.what}"
+            self.log.event("fleet", text=text, address=f"{event.word.host}:{event.word.port}",
+                           life=event.word.life)
+            self.told.append(text)
+            self.last = [*self.last, {"at": round(time.time(), 3), "text": text}][-EVENTS_KEPT:]
+        if self.records is not None and (now >= due or due == math.inf):
+            self.records_due = now + RECORDS_EVERY
+            told, self.told = self.told[-EVENTS_KEPT:], []
+            if word := self.records.keep(self.status(now), told):
+                self.log.event("fleet", text=word)
+
+    def status(self, now: float) -> dict:
+        """What this director believes of the others."""
+        with self.lock:
+            view = self.core.view
+            members = [{"name": word.name, "address": f"{word.host}:{word.port}", "location": word.location,
+                        "life": word.life, "denials": word.count, "state": word.state.name.lower(),
+                        "for_s": round((now - record.since) / 1000.0, 1),
+                        "heard_s": round((now - record.heard) / 1000.0, 1) if record.heard else None}
+                       for record in view.records.values() for word in [record.word]]
+            own = view.own
+            return {"fleet": self.own.fleet, "name": own.name, "address": f"{own.host}:{own.port}",
+                    "location": own.location, "life": own.life, "denials": own.count,
+                    "state": own.state.name.lower(), "unwell": self.core.health, "size": view.size(),
+                    "members": sorted(members, key=lambda held: (held["name"], held["address"])),
+                    "dropped": dict(sorted(self.core.dropped.items())), "refused": view.refused,
+                    "budgets": self.core.companion.status(now) if self.core.companion is not None else None,
+                    "bytes_out": self.bytes_out, "bytes_in": self.bytes_in, "events": self.last,
+                    "written": round(time.time(), 3)}
+
+
+def _now() -> float:
+    return time.monotonic() * 1000.0
--- a/mulleinrelay/net/service.py
+++ b/mulleinrelay/net/service.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from ..cells.own import OwnFile
     from ..management.own import OwnFile as ManagementFile
+    from ..membership.own import OwnFile as FleetFile
 
 CLIENTS_SHARE, LINKS_SHARE = 0.5, 0.4  # of the descriptors
 SWEEP_EVERY, ASK_EVERY = 250.0, 25.0
@@ -32,9 +33,9 @@
 
 class Service:
     def __init__(self, start: Start, log: Log, cells: "OwnFile | None" = None,
-                 management: "ManagementFile | None" = None) -> None:
-        """`cells`: tenants are confined as that file says. `management`: staff reach it by gNMI. Raises
-        CharterError where the assignment can't be used."""
+                 management: "ManagementFile | None" = None, fleet: "FleetFile | None" = None) -> None:
+        """`cells`: tenants are confined as that file says. `management`: staff reach it by gNMI. `fleet`: it
+        talks to other directors. Raises CharterError where the assignment can't be used."""
         self.start_settings, self.log = start, log
         self.phase = Phase.STARTING
         self.offset = time.time() * 1000.0 - time.monotonic() * 1000.0  # taken once: steps don't reach us
@@ -52,6 +53,10 @@
             self.front.gate = self.warden
         self.managed = management if management is not None and management.enabled else None
         self.server = None
+        self.talk = None
+        if fleet is not None and fleet.enabled:
+            from ..membership.talk import Talk  # its library is there only where it is on
+            self.talk = Talk(fleet, start.name, start.seed, self.clock, log, self.facade)
 
     def clock(self) -> float:
         """Unix milliseconds."""
@@ -68,6 +73,8 @@
                                 self.log)
             self.server.begin()
             self.server.manager.begin()
+        if self.talk is not None:
+            self.talk.begin()
         self.front.begin()
         self.front.well = True
         self._enter(Phase.READY)
@@ -98,6 +105,8 @@
             time.sleep(0.02)
         self.front.stop()
         self.bus.stop()
+        if self.talk is not None:
+            self.talk.stop()
         if self.server is not None:
             self.server.stop()
         if self.warden is not None:
--- a/mulleinrelay/serving.py
+++ b/mulleinrelay/serving.py
@@ -16,14 +16,15 @@
 DONE, NOT_STARTED, BAD_CONFIGURATION = 0, 1, 2
 
 
-def serve(config: str | None, cells: str | None, management: str | None = None) -> int:
+def serve(config: str | None, cells: str | None, management: str | None = None,
+          fleet: str | None = None) -> int:
     """Gives the exit code."""
     told = signals()
     try:
         start = from_environment(os.environ, config)
         threading.stack_size(STACK)
         log = Log(start.name)
-        service = make(start, log, cells, management)
+        service = make(start, log, cells, management, fleet)
     except ConfigurationError as wrong:
         print(f"mulleinrelay: {wrong}", file=sys.stderr)
         return BAD_CONFIGURATION
@@ -31,7 +32,8 @@
         service.start()
     except OSError as wrong:
         why = wrong.strerror or str(wrong)
-        print(f"mulleinrelay: cannot listen on {start.listen[0]}:{start.listen[1]}: {why}", file=sys.stderr)
+        at = wrong.filename or f"{start.listen[0]}:{start.listen[1]}"
+        print(f"mulleinrelay: cannot listen on {at}: {why}", file=sys.stderr)
         return NOT_STARTED
     except RuntimeError as wrong:  # what management kept can't be used, or its port is taken
         print(f"mulleinrelay: {wrong}", file=sys.stderr)
@@ -59,28 +61,32 @@
     return told
 
 
-def make(start: Start, log: Log, cells: str | None, management: str | None = None) -> Service:
+def make(start: Start, log: Log, cells: str | None, management: str | None = None,
+         fleet: str | None = None) -> Service:
     """Raises ConfigurationError, also for what is wrong with our own files."""
-    if not cells and not management:
+    if not cells and not management and not fleet:
         return Service(start, log)
     try:
         from .cells.charter import CharterError
         try:
-            held, managed = None, None
+            held, managed, talked = None, None, None
             if cells:
                 from .cells.own import load_own
                 held = load_own(cells)
             if management:
                 from .management.own import load_own as load_management
                 managed = load_management(management)
-            return Service(start, log, held, managed)
+            if fleet:
+                from .membership.own import load_own as load_fleet
+                talked = load_fleet(fleet)
+            return Service(start, log, held, managed, talked)
         except CharterError as wrong:
             raise ConfigurationError(str(wrong)) from None
     except ModuleNotFoundError as missing:
         if (missing.name or "").startswith("mulleinrelay"):
             raise
-        raise ConfigurationError(f"the library {missing.name} is missing; install mulleinrelay[cells] or "
-                                 "mulleinrelay[management]") from None
+        raise ConfigurationError(f"the library {missing.name} is missing; install mulleinrelay[cells], "
+                                 "mulleinrelay[management] or mulleinrelay[fleet]") from None
 
 
 def bus_named(path: str | None) -> tuple[str, int] | None:
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -22,6 +22,7 @@
         (HEAD + "[load]\nrate = much\n", r"\[load\] rate"),
         (HEAD + "[fault]\nwhat = kill\n", r"\[fault\]: an unknown section"),
         (HEAD + "[fault a]\nat = 3\n", r"\[fault a\] what"),
+        (HEAD + "[fault a]\nwhat = cut\nother = south\nat = 3\n", r"\[fault a\] other"),
         (HEAD + "[fault a]\nwhat = cut\n", r"\[fault a\] at: the key is missing"),
         (HEAD + "[fault a]\nwhat = cut\nat = 3\npaths = moon\n", r"\[fault a\] paths"),
         (HEAD + "[fault a]\nwhat = cut\nat = 3\nlocation = west\n", r"\[fault a\] location"),
