--- a/mulleinrelay/membership/detector.py
+++ b/mulleinrelay/membership/detector.py
@@ -24,6 +24,7 @@
 HEALTH_MOST = 8  # times longer that one who is itself unwell waits, less one
 AWAY = 4.0  # periods between two calls, after which this director itself was stopped
 SYNC_EVERY, SYNC_SOON = 10_000.0, 1_000.0  # comparing all that is known; after a start or a stop
+MORE_AFTER = 250.0  # a comparison that left a difference is followed by another, ever later without news
 KNOCK_EVERY = 3_000.0  # at one who has died, or at a seed: a cut may be over
 WORDS, PAGES = 14, 6  # words on a datagram; pages that answer a comparison
 CHECKS = (0.3, 0.5, 0.7)  # of the time after which it counts as dead: a doubted one is asked once more
@@ -74,7 +75,7 @@
         self.knock_due = now + KNOCK_EVERY * random.random()
         self.dropped: dict[str, int] = {}
         self.second, self.read = 0.0, 0
-        self.left = False
+        self.left, self.more = False, MORE_AFTER
         self.companion: Companion | None = None
 
     # What others and staff ask
@@ -126,11 +127,15 @@
         # of its hearing nothing
         trusted = current and record.word.state <= State.SUSPECT
         out: list[tuple[Address, bytes]] = []
-        count = view.own.count, view.own.life
+        count, news = (view.own.count, view.own.life), 0
         for word in message.words:
             if trusted or word.who == view.own.who:
-                if view.merge(now, word, by) and word.state == State.SUSPECT:
-                    out += self._warn(word)
+                if view.merge(now, word, by):
+                    news += 1
+                    out += self._warn(word) if word.state == State.SUSPECT else []
+        if message.kind == Kind.PAGE and message.number != view.digest() & 0xFFFFFFFF:
+            self.more = MORE_AFTER if news else min(SYNC_EVERY, 1.2 * self.more)
+            self.sync_due = min(self.sync_due, now + self.more)
         if count != (view.own.count, view.own.life):
             out += self._deny()
         if message.kind == Kind.PING:
@@ -194,7 +199,8 @@
             self.view.page(known), WORDS)
         if (record := self.view.records.get(to)) is not None and record.word.state > State.ALIVE:
             pages[0] = [record.word, *pages[0]]
-        return [(address, self.codec.encode(Kind.PAGE, 0, self.view.own, None, page)) for page in pages]
+        digest = self.view.digest() & 0xFFFFFFFF
+        return [(address, self.codec.encode(Kind.PAGE, digest, self.view.own, None, page)) for page in pages]
 
     # Time
 
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -147,6 +147,20 @@
     assert net.agree()
 
 
+def test_a_newcomer_knows_a_fleet_that_is_larger_than_a_comparison_within_seconds():
+    net = Net(150)
+    words = [core.view.own for core in net.cores.values()]
+    for core in net.cores.values():  # a fleet that has long been there
+        for word in words:
+            core.view.merge(0.0, word, word.who)
+        core.view.telling.clear()
+    net.run(1)
+    net.start(150)
+    net.run(9)
+    assert len(net.sees(150)) == 150
+    assert sum(150 in net.sees(one) for one in range(150)) == 150
+
+
 def test_what_each_sends_does_not_grow_with_the_fleet():
     rates = []
     for count in (16, 96):
