--- a/mulleinrelay/budgets/exchange.py
+++ b/mulleinrelay/budgets/exchange.py
@@ -3,6 +3,7 @@
 """
 
 import math
+from collections import Counter
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from random import Random
@@ -20,7 +21,8 @@
 RENEW_AT = 0.5  # of a lease
 FORGETS = 400.0  # halving of what was wanted: rights don't swing with each lookup
 QUARTERS = 4  # of a span, in which its use is remembered
-LEAST = 64  # grains that are worth a datagram
+LEAST = 0.05  # of an owner's grains: less is not worth a datagram
+BY_ONE_MOST = 3  # leases of one lender at a time: what it could spare first may have been little
 
 Who = tuple[str, str, int]
 
@@ -116,6 +118,8 @@
         if one.kind == "a":
             self._look(now, limit)
             ask = Ask(one.number, one.grains, one.renews)
+            if not ask.renews and ledger.spare(now, self._busy(limit)) < LEAST * ledger.own:
+                return None
             lend = ledger.asked(now, who, one.life, ask, self._busy(limit))
             if lend is None:
                 return None
@@ -165,12 +169,12 @@
         """Before it is needed: up to what is wanted, from some others at a time."""
         ledger = limit.ledger
         missing = math.ceil(GRAINS * min(1.0, limit.wanted)) - ledger.usable(now)
-        lenders = {held.lender for held in ledger.borrowed.values()}
+        lenders = Counter(held.lender for held in ledger.borrowed.values())
         waiting = {sent.lender for sent in ledger.asks.values() if now < sent.at + 2.0 * STEP}
         room = LEASES_MOST - len(ledger.borrowed)
         able = [who for who, place in others
-                if limit.location in ("", place) and who not in waiting and who not in lenders]
-        if missing < LEAST or room <= 0 or not able:
+                if limit.location in ("", place) and who not in waiting and lenders[who] < BY_ONE_MOST]
+        if missing < LEAST * ledger.own or room <= 0 or not able:
             return
         for who in self.random.sample(able, min(ASKS, room, len(able))):
             ask = ledger.ask(now, who, missing)
--- a/tests/budgets/test_ledger.py
+++ b/tests/budgets/test_ledger.py
@@ -1,7 +1,7 @@
 """No grain is ever used twice, in all states that small fleets can come to; and planted faults are found."""
 
 import pytest
-from search import World, search
+from ledgers import World, search
 
 from mulleinrelay.budgets.ledger import Ledger, Lent
 
