--- a/mulleinrelay/membership/detector.py
+++ b/mulleinrelay/membership/detector.py
@@ -23,7 +23,7 @@
 SAY_SO = 3  # others who say so too, for the least time
 HEALTH_MOST = 8  # times longer that one who is itself unwell waits, less one
 AWAY = 4.0  # periods between two calls, after which this director itself was stopped
-SYNC_EVERY, SYNC_SOON = 10_000.0, 1_000.0  # comparing all that is known; after a start or a stop
+SYNC_EVERY, SYNC_SOON = 10_000.0, 1_000.0  # comparing all that is known; where hardly anybody is
 MORE_AFTER = 250.0  # a comparison that left a difference is followed by another, ever later without news
 KNOCK_EVERY = 3_000.0  # at one who has died, or at a seed: a cut may be over
 WORDS, PAGES = 14, 6  # words on a datagram; pages that answer a comparison
@@ -314,9 +314,8 @@
     def _sync(self, now: float) -> list[tuple[Address, bytes]]:
         """Compares with one other, or with a seed where nobody is known."""
         present = self.view.present()
-        soon = not present or self.health > 0 or now < self.called + SYNC_SOON
-        self.sync_due = now + (SYNC_SOON if soon and len(present) < 2 else SYNC_EVERY) \
-            * (0.75 + 0.5 * self.random.random())
+        every = SYNC_SOON if len(present) < 2 else SYNC_EVERY
+        self.sync_due = now + every * (0.75 + 0.5 * self.random.random())
         to = [_address(self.random.choice(present))] if present else self._seeds()
         digest = self.view.digest() & 0xFFFFFFFF
         words = self.view.page(WORDS)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -466,3 +466,16 @@
         fleet.director.mark(cache, 4.0, "reset")
     fleet.call("told", fleet.parents[0], None, True)
     assert fleet.director.reach.cut
+
+
+def test_a_part_of_a_cold_limit_that_was_borrowed_ends_by_itself():
+    """Guards against a director that was stopped and goes on with what has been given to another since."""
+    fleet = Fleet(started=100_000.0, directors_here=4)
+    cold, share = fleet.caches[0], fleet.director.cold_here
+    share.part, share.until, share.least, share.watched = 1.0, 101_000.0, 0.0, True
+    room = [fleet.director.has_room(cold, 100.0)]
+    assert share.used > 0.0 and share.refused == 0.0
+    fleet.director.now = 105_000.0
+    room.append(fleet.director.has_room(cold, 100.0))
+    assert room == [True, False] and share.refused > 0.0
+    assert all(fleet.director.has_room(cache, 100.0) for cache in fleet.caches[1:])  # warm ones
