--- a/benchmarks/loss.py
+++ b/benchmarks/loss.py
@@ -31,29 +31,10 @@
 from mulleinrelay.spread.verdicts import Health
 
 from . import recovery
+from .spread import head
 from .versions import ROOT, unpack
 
-HEAD = """
-[fleet lab]
-name = {name}
-seconds = {seconds}
-warm_s = 8
-seed = {seed}
-client_processes = 2
-relay_processes = 2
-[directors]
-count = {directors}
-uneven = 1.0
-[nodes]
-locations = a b c d e
-caches = 8
-parents = 3
-capacity = 60
-[load]
-rate = {rate}
-objects = 2000
-orders = 0.05
-"""
+CACHES = 8  # a location
 LOST = {
     "killed": (36, """
 [fault seven-in-ten]
@@ -235,7 +216,7 @@
 
 def play(name: str, directors: int, rate: float, seed: int, program: str) -> dict[str, Any]:
     seconds, faults = LOST[name]
-    text = HEAD.format(name=name, seconds=seconds, seed=seed, directors=directors, rate=rate) + faults
+    text = head(name, directors, rate, seed, seconds, CACHES) + faults
     scenario = read_fleet(text)
     with tempfile.TemporaryDirectory(prefix="mulleinrelay-loss-") as folder:
         FleetLab(scenario, text, folder, program).run()
@@ -308,8 +289,8 @@
         told |= {f"{key}_vs_before": round(told[key] / before[key], 4)
                  for key in ("credit_during_kill", "credit_during_cut", "credit_during_bad",
                              "credit_during_slow") if before.get(key)}
-    caches = 8
-    told["good_cache_shunned_per_hour"] = good_shunned(directors, caches, rate / directors / caches, seed)
+    met = rate / directors / CACHES
+    told["good_cache_shunned_per_hour"] = good_shunned(directors, CACHES, met, seed)
     if with_sweep:
         told |= sweep(directors, seed, jobs)
     told["seconds"] = round(time.monotonic() - began, 1)
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -40,7 +40,7 @@
 probes = {probes}
 [nodes]
 locations = a b c d e
-caches = 6
+caches = {caches}
 parents = 3
 capacity = 60
 [load]
@@ -118,10 +118,15 @@
 }
 
 
+def head(name: str, directors: int, rate: float, seed: int, seconds: int, caches: int = 6,
+         probes: bool = False) -> str:
+    return HEAD.format(name=name, directors=directors, rate=rate, seed=seed, seconds=seconds, caches=caches,
+                       probes="yes" if probes else "no")
+
+
 def text_of(name: str, directors: int, rate: float, seed: int, seconds: int = 0, probes: bool = False) -> str:
     span, faults = FAULTS[name]
-    return HEAD.format(name=name, directors=directors, rate=rate, seed=seed, seconds=seconds or span,
-                       probes="yes" if probes else "no") + faults
+    return head(name, directors, rate, seed, seconds or span, probes=probes) + faults
 
 
 def play(text: str, program: str = ROOT) -> dict[str, Any]:
