Let the review's event bus poll for events, and end a case that hangs

A wait on an asyncio condition with a time limit could fail in Python 3.11 and leave a run without an event bus. The bus now looks every 10 ms, and a watchdog ends all started processes after 115 s.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -15,6 +15,7 @@
 import struct
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from pathlib import Path
@@ -163,7 +164,6 @@
         self.events = []  # (number, text, time in ms at which it was in the bus)
         self.head_delay_ms = 0.0
         self.server = None
-        self.changed = asyncio.Condition()
         self.told = {}  # number: time in ms at which it was first written to a connection
         self.tasks = set()
 
@@ -179,8 +179,6 @@
         text = json.dumps({"offset": self.offset} | data)
         self.events.append((self.offset, text, now_ms()))
         self.record.line("bus", f"event {text}")
-        async with self.changed:
-            self.changed.notify_all()
         return self.offset
 
     async def serve(self, reader, writer):
@@ -199,20 +197,21 @@
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
             self.record.line("bus", "head written")
-            while True:
-                for number, text, _ in self.events:
+            position = 0
+            comment_at = now_ms() + 1000.0
+            while not reader.at_eof():
+                for number, text, _ in self.events[position:]:
                     if number > last:
                         writer.write(f"id: {number}\ndata: {text}\n\n".encode())
                         self.told.setdefault(number, now_ms())
                         self.record.line("bus", f"event {number} written")
                         last = number
+                position = len(self.events)
+                if now_ms() >= comment_at:
+                    writer.write(b": still here\n\n")
+                    comment_at += 1000.0
                 await writer.drain()
-                async with self.changed:
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self.changed.wait(), 1.0)
-                writer.write(b": still here\n\n")
-                if reader.at_eof():
-                    return
+                await asyncio.sleep(0.01)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -650,13 +649,26 @@
     ]
 
 
+def end_at_once(play):
+    """End all started processes and this one, as the case has not ended by itself."""
+    for part in play.parts:
+        process = getattr(part, "process", None)
+        if process is not None and process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGKILL)
+    os._exit(2)
+
+
 def run_case(play_case, folder):
     """Run `play_case(play)`, which returns 0, 1 or 2, and exit with that code."""
 
     async def main():
         play = Play(folder)
+        watchdog = threading.Timer(115.0, end_at_once, (play,))
+        watchdog.daemon = True
+        watchdog.start()
         try:
-            return await asyncio.wait_for(play_case(play), 110.0)
+            return await asyncio.wait_for(play_case(play), 105.0)
         except Exception as error:  # the case could not run
             play.record.line("test", f"could not run: {type(error).__name__}: {error}")
             print(f"could not run: {type(error).__name__}: {error}")
