--- a/review/3/test_case.py
+++ b/review/3/test_case.py
@@ -1,4 +1,4 @@
-"""Rule `lost` while eight bad clients send what can't be read."""
+"""Rule `lost` while sixteen bad clients send what can't be read."""
 
 import asyncio
 import random
@@ -21,7 +21,7 @@
 )
 
 FOLDER = Path(__file__).resolve().parent
-BAD_CLIENTS, MESSAGES_EACH = 8, 100
+BAD_CLIENTS, MESSAGES_EACH = 16, 100
 QUIET_S, TROUBLE_S, END_S = 3.0, 10, 14.0
 PATIENCE_MS = 1500
 # Up to half a second after its time a request only earns nothing; each limit is 50 ms longer.
