--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -611,7 +611,9 @@
 
     async def start(self):
         script = str(Path(__file__).with_name("bad_clients.py"))
-        self.process = await asyncio.create_subprocess_exec(sys.executable, script, *self.arguments)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", script, *self.arguments
+        )
 
     async def stop(self):
         if self.process.returncode is None:
