Bound the memory of received requests over all connections, with equal shares

Cause: ClientConnection.read_calls read up to 64 calls ahead on each connection, and only their number per connection was limited. Partial calls, bodies of open requests and the block of the last large call on an idle connection had no common limit either.

Change: received requests are charged to a common account from the first byte beyond 4 KB to the final answer. A connection may hold as much as is free (policy/buffer_sharing.py). Beyond it, calls stay in the kernel's buffer; a request whose body finds no memory is rejected at once with a Retry-After, and its body is discarded.

Why it works: the sum is bounded for any number of connections and any sizes, small requests still pass, and a new connection finds the share that each greedy one has.

--- a/mulleinrelay/net/client_connection.py
+++ b/mulleinrelay/net/client_connection.py
@@ -15,13 +15,14 @@
 
 import select
 import socket
+import sys
 import threading
 import time
 from collections import deque
-from collections.abc import Iterable
 
 from ..policy.model import Request
 from . import thrift
+from .request_memory import MemoryAccount, RequestMemory
 from .write_queue import Piece, WriteQueue
 
 # A client is disconnected if no byte of its queued answers can be written for this long.
@@ -37,6 +38,7 @@
 # half-close arrive within 50 ms plus one round trip.
 LINGER_S = 0.15
 MAX_PENDING_CALLS = 64  # calls that are read ahead on one connection
+CALL_OVERHEAD_BYTES = 1024  # memory of the objects for one call, beside its frame
 # Before the first attempt of a request is sent, the socket is not checked for a disconnect or a
 # cancellation if it was read until it was empty within this time.
 RECENT_READ_S = 0.02
@@ -63,7 +65,13 @@
         write_queue: Answers to be written.
         open_requests: Requests that were started and neither answered nor cancelled, by sequence
             number; the value is None until the coordinator has accepted the request.
+        open_request_bytes: Memory that is charged for each open request, by sequence number.
+        memory_account: Account for the memory of the partial call, the pending calls and the open
+            requests; guarded by the lock.
+        partial_call_bytes: Memory that is charged for a large partial call.
         decoder: Decoder with the received bytes that are not decoded yet.
+        has_undecoded_frames: Whether the decoder may have complete frames, because no more calls
+            could be read ahead.
         pending_calls: Calls that were read but not handled; the first may be in progress. A call
             that has become an open request is removed.
         has_called: Whether a complete call was received, valid or not.
@@ -80,8 +88,13 @@
     """
 
     def __init__(
-        self, connection: socket.socket, address: str = "", admission_entry: str = ""
+        self,
+        connection: socket.socket,
+        address: str = "",
+        admission_entry: str = "",
+        request_memory: RequestMemory | None = None,
     ) -> None:
+        """Create a connection; without `request_memory`, its requests may take any memory."""
         self.connection = connection
         self.address = address
         self.admission_entry = admission_entry
@@ -89,7 +102,11 @@
         self.write_queue: WriteQueue[None] = WriteQueue(self.lock, WRITE_TIMEOUT_S)
         self.write_queue.connection = connection
         self.open_requests: dict[int, Request | None] = {}
+        self.open_request_bytes: dict[int, int] = {}
+        self.memory_account = MemoryAccount(request_memory or RequestMemory(sys.maxsize))
+        self.partial_call_bytes = 0
         self.decoder = thrift.FrameDecoder()
+        self.has_undecoded_frames = False
         self.pending_calls: deque[thrift.MethodCall] = deque()
         self.has_called = False
         self.has_sent_request = False
@@ -130,14 +147,16 @@
         Raises:
             OSError: If the client has reset the connection.
         """
-        while len(self.pending_calls) < MAX_PENDING_CALLS:
+        while self._may_read_ahead():
+            if self.has_undecoded_frames:
+                with self.lock:
+                    self._queue_frames(0)
+                continue
             if not self.pending_calls and (self.framing_error or not self._wait_for_bytes()):
                 return False
             with self.lock:
                 try:
-                    length = self.connection.recv_into(
-                        self.decoder.writable_view(), 0, socket.MSG_DONTWAIT
-                    )
+                    length = self._receive()
                 except BlockingIOError:
                     self.last_read_at = time.monotonic()
                     if self.pending_calls:
@@ -146,40 +165,67 @@
                 if not length:
                     return False
                 if not self.framing_error:
-                    self._queue_frames(self.decoder.decode(length))
+                    self._queue_frames(length)
                 elif self.pending_calls:
                     # One read is enough to detect a disconnect. Reading on would let a client that
                     # floods the connection keep this thread from handling the pending calls.
                     return True
         return not self._is_closed_by_peer()
 
+    def _may_read_ahead(self) -> bool:
+        """Return whether another call may be read; always True if no call is pending."""
+        count = len(self.pending_calls)
+        return not count or (count < MAX_PENDING_CALLS and self.memory_account.may_hold_more())
+
+    def _receive(self) -> int:
+        """Receive bytes into the decoder without blocking, and return their number.
+
+        A large partial call gets its memory first. If its connection may not hold that much, the
+        call is truncated, and is rejected when it is handled.
+        """
+        if self.decoder.needs_large_block() and not self.partial_call_bytes:
+            size = self.decoder.expected_length + CALL_OVERHEAD_BYTES
+            if self.memory_account.try_charge(size):
+                self.partial_call_bytes = size
+            else:
+                self.decoder.truncate_frame()
+        return self.connection.recv_into(self.decoder.writable_view(), 0, socket.MSG_DONTWAIT)
+
     def _wait_for_bytes(self) -> bool:
         """Block until bytes are received; return False at the end of the stream."""
         return bool(self.connection.recv(1, socket.MSG_PEEK))
 
-    def _queue_frames(self, frames: Iterable[memoryview]) -> None:
-        """Queue the calls in frames. If the connection was closed, discard all pending calls.
+    def _queue_frames(self, length: int) -> None:
+        """Queue the calls in received bytes, as many as may be read ahead.
+
+        If the connection was closed, all pending calls are discarded. The caller has held the lock
+        since it received the bytes. A thread that closes idle connections therefore always finds a
+        received call: in the kernel's receive buffer, in the decoder or in the queue.
 
-        The caller has held the lock since it read the bytes of the frames. A thread that closes
-        idle connections therefore always finds a received call: either in the kernel's receive
-        buffer or in the queue.
+        Args:
+            length: Number of bytes that were received.
         """
         now = time.monotonic()
+        self.has_undecoded_frames = False
         if self.write_queue.is_shut_down:
-            self.pending_calls.clear()
+            self._clear_pending_calls()
             return
         try:
-            for frame in frames:
+            for frame in self.decoder.decode(length):
                 self.has_called = True
                 self.last_used_at = now
                 self.partial_call_since = 0.0
                 self._queue_call(thrift.read_call(frame), now)
+                if not self._may_read_ahead():
+                    self.has_undecoded_frames = True
+                    return
         except thrift.ThriftError as error:  # the complete calls before the error are queued
             self.framing_error = str(error)
             self.partial_call_since = 0.0
             return
+        self.decoder.buffer.release_large_block()
         self.partial_call_since = (
-            (self.partial_call_since or now) if len(self.decoder.buffer) else 0.0
+            (self.partial_call_since or now) if self.decoder.is_within_frame() else 0.0
         )
 
     def _queue_call(self, call: thrift.MethodCall, now: float) -> None:
@@ -190,21 +236,41 @@
         like any call, and is an invalid call when it is handled.
         """
         call.read_at = now
+        call.is_truncated = self.decoder.is_truncated
         number = thrift.peek_cancelled_number(call) if call.method == "forget" else None
+        if number is not None and self._withdraw_pending_request(number):
+            return
+        self._charge_call(call)
         if number is None:
             self.pending_calls.append(call)
-        elif any(
-            pending.method == "serve" and pending.sequence_number == number
-            for pending in self.pending_calls
-        ):
-            self.pending_calls = deque(
-                pending
-                for pending in self.pending_calls
-                if pending.method != "serve" or pending.sequence_number != number
-            )
         else:
             self.pending_calls.appendleft(call)
 
+    def _withdraw_pending_request(self, number: int) -> bool:
+        """Remove the pending requests with this sequence number; return whether there were any."""
+        withdrawn = [
+            call
+            for call in self.pending_calls
+            if call.method == "serve" and call.sequence_number == number
+        ]
+        for call in withdrawn:
+            self.pending_calls.remove(call)
+            self.memory_account.release(call.charged_bytes)
+        return bool(withdrawn)
+
+    def _charge_call(self, call: thrift.MethodCall) -> None:
+        """Charge a complete call to the memory account, in place of the partial call."""
+        self.memory_account.release(self.partial_call_bytes)
+        self.partial_call_bytes = 0
+        call.charged_bytes = len(call.arguments.frame) + CALL_OVERHEAD_BYTES
+        self.memory_account.charge(call.charged_bytes)
+
+    def _clear_pending_calls(self) -> None:
+        """Discard all pending calls; the caller holds the lock."""
+        for call in self.pending_calls:
+            self.memory_account.release(call.charged_bytes)
+        self.pending_calls.clear()
+
     def discard_input(self) -> None:
         """Half-close the connection after a framing error, once all earlier calls are answered.
 
@@ -249,11 +315,54 @@
         """
         if self.pending_calls and self.pending_calls[0] is call:
             self.pending_calls.popleft()
+            self.memory_account.release(call.charged_bytes)
+
+    # Open requests, in any thread
+
+    def open_request(self, call: thrift.MethodCall) -> bool:
+        """Register a pending call as an open request.
+
+        Returns:
+            False if the connection was closed meanwhile. The client then repeats the request on a
+            new connection.
+        """
+        with self.lock:
+            if self.write_queue.is_shut_down:
+                return False
+            self.open_requests[call.sequence_number] = None
+            self.open_request_bytes[call.sequence_number] = call.charged_bytes
+            call.charged_bytes = 0
+            self.has_sent_request = True
+            self.remove_pending_call(call)
+        return True
+
+    def close_request(self, sequence_number: int) -> Request | None:
+        """Remove an open request and release its memory; the caller holds the lock.
+
+        Returns:
+            The request; None if it is not open, or not accepted by the coordinator yet.
+        """
+        self.memory_account.release(self.open_request_bytes.pop(sequence_number, 0))
+        return self.open_requests.pop(sequence_number, None)
+
+    def close_all_requests(self) -> list[Request]:
+        """Remove all open requests and pending calls, because the connection ends.
+
+        Returns:
+            The requests that the coordinator has accepted.
+        """
+        with self.lock:
+            abandoned = [request for request in self.open_requests.values() if request is not None]
+            self.open_requests = {}
+            self.open_request_bytes = {}
+            self.pending_calls.clear()
+            self.memory_account.release_all()
+        return abandoned
 
     def send_answer(self, sequence_number: int, pieces: list[Piece]) -> None:
         """Send the only answer to a request; do nothing if the request is no longer open."""
         with self.lock:
-            if self.open_requests.pop(sequence_number, None) is not None:
+            if self.close_request(sequence_number) is not None:
                 self.write_queue.write(sequence_number, pieces)
                 self.last_used_at = time.monotonic()
                 self._enforce_unread_limit()
@@ -349,7 +458,7 @@
                 return next_byte is not None
             if self._is_closed_by_peer():
                 return True
-            received = bytes(self.decoder.buffer.unread()) + (self._peek(MAX_PEEK_BYTES) or b"")
+            received = self.decoder.from_next_frame(self._peek(MAX_PEEK_BYTES) or b"")
             return not self.framing_error and sequence_number in thrift.cancelled_numbers(received)
 
     def _has_unread_bytes(self) -> bool:
--- a/mulleinrelay/net/client_listener.py
+++ b/mulleinrelay/net/client_listener.py
@@ -11,9 +11,11 @@
 from collections.abc import Sequence
 
 from ..policy.admission import eviction_order
+from ..policy.buffer_sharing import request_memory
 from ..structured_log import StructuredLog
 from .client_connection import ClientConnection
 from .request_handler import RequestHandler
+from .request_memory import RequestMemory
 
 BACKLOG = 1024  # connections that the kernel queues before they are accepted
 # Invalid calls without a valid request between them. A connection with more of them is half-closed
@@ -35,6 +37,7 @@
             until its thread ends.
         client_removed: Condition that is notified when a connection is removed from `clients`.
         max_clients: Maximum number of connections in `clients`.
+        request_memory: Memory for received requests, shared by all connections.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.request_handler = request_handler
         self.log = log
         self.max_clients = max_clients
+        self.request_memory = RequestMemory(request_memory(request_handler.config.memory_mb))
         self.listener: socket.socket | None = None
         self.accept_thread = threading.Thread(target=self._accept, name="accept", daemon=True)
         self.lock = threading.Lock()
@@ -171,7 +175,7 @@
             False if the table is full. The connection is then closed.
         """
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = ClientConnection(connection, address, entry)
+        client = ClientConnection(connection, address, entry, self.request_memory)
         with self.lock:
             if not self._make_room():
                 connection.close()
@@ -271,12 +275,7 @@
         returned to admission control.
         """
         client.shut_down()
-        with client.lock:
-            abandoned = [
-                request for request in client.open_requests.values() if request is not None
-            ]
-            client.open_requests = {}
-        for request in abandoned:
+        for request in client.close_all_requests():
             self.request_handler.client_left(request)
         with client.lock:
             client.connection.close()
--- a/mulleinrelay/net/receive_buffer.py
+++ b/mulleinrelay/net/receive_buffer.py
@@ -40,6 +40,16 @@
             self.end = len(unread)
         return self.view[self.end :]
 
+    def release_large_block(self) -> None:
+        """Replace a block of more than the minimum size if all of its bytes were taken.
+
+        The block stays in memory only as long as views of taken bytes refer to it.
+        """
+        if len(self.view) > self.size and self.start == self.end:
+            self.view = memoryview(bytearray(self.size))
+            self.start = 0
+            self.end = 0
+
     def take(self, length: int) -> memoryview:
         """Consume and return the first `length` unread bytes."""
         taken = self.view[self.start : self.start + length]
--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from random import Random
 
 from ..config.platform import DirectorConfig
 from ..coordinator import (
@@ -18,6 +19,7 @@
     RequestResult,
     Served,
 )
+from ..policy import overload
 from ..policy.admission import AdmissionThresholds
 from ..policy.model import KEYED, CachePool, ClientRequest, Request, RequestClass, SendAttempt
 from ..structured_log import StructuredLog
@@ -61,6 +63,7 @@
         self.upstream = upstream
         self.log = log
         self.admission_control: AdmissionControl | None = None
+        self.random = Random(config.seed)
         self.recent_request_ids = RecentRequestIds(config.memory_mb)
         self.max_requests = int(REQUESTS_PER_MB * config.memory_mb)
         self.admission_thresholds = AdmissionThresholds(config.request_classes.values())
@@ -77,7 +80,9 @@
         """Handle one call in the thread of its connection."""
         number = call.sequence_number
         try:
-            if call.method == "serve":
+            if call.method == "serve" and call.is_truncated:
+                self._reject_truncated(client, call)
+            elif call.method == "serve":
                 self._handle_request(client, call)
             elif call.method == "forget":
                 self._handle_cancellation(client, call)
@@ -102,7 +107,7 @@
     def _handle_cancellation(self, client: ClientConnection, call: thrift.MethodCall) -> None:
         number = thrift.read_cancelled_number(call.arguments)
         with client.lock:
-            request = client.open_requests.pop(number, None)
+            request = client.close_request(number)
         if request is not None:
             self.client_left(request)
 
@@ -143,25 +148,27 @@
         """Register a call as an open request, and remove it from the pending calls.
 
         Returns:
-            False if the connection was closed meanwhile. The client then repeats the request on a
-            new connection.
+            False if the connection was closed meanwhile.
 
         Raises:
             ThriftError: If the request id was used before.
         """
-        with client.lock:
-            if client.write_queue.is_shut_down:
-                return False
-            client.open_requests[call.sequence_number] = None
-            client.has_sent_request = True
-            client.remove_pending_call(call)
+        if not client.open_request(call):
+            return False
         if not self.recent_request_ids.add(request.request_id):
             with client.lock:
-                del client.open_requests[call.sequence_number]
+                client.close_request(call.sequence_number)
             raise thrift.ThriftError("the id was used before")
         client.bad_call_count = 0
         return True
 
+    def _reject_truncated(self, client: ClientConnection, call: thrift.MethodCall) -> None:
+        """Reject a request for whose body there was no memory."""
+        self._check_sequence_number(client, call.sequence_number)
+        self.log.event("request rejected", why="no memory for its body")
+        retry_after = overload.choose_retry_after(self.random, self.config.settings)
+        client.send_reply(call, thrift.rejected_reply(call.sequence_number, retry_after))
+
     def _check_sequence_number(self, client: ClientConnection, number: int) -> None:
         """Raise ThriftError if the sequence number is in use or too many requests are open.
 
@@ -171,7 +178,7 @@
         """
         if number in client.open_requests:
             with client.lock:
-                first = client.open_requests.pop(number, None)
+                first = client.close_request(number)
             if first is not None:
                 self.client_left(first)
             raise thrift.ThriftError(f"the number {number} is open already")
@@ -220,7 +227,7 @@
         with client.lock:
             is_owed = number in client.open_requests
             if is_owed:
-                del client.open_requests[number]
+                client.close_request(number)
                 client.write_queue.write(number, pieces)
 
     def client_left(self, request: Request) -> None:
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -46,8 +46,11 @@
 MAX_FIELDS = 64  # in a client's string map
 MAX_BODY_BYTES = 48_000  # of a request's body
 MAX_FRAME_BYTES = MAX_BODY_BYTES + 16_384
+# A small body is copied. As a view, it would keep a block of memory, which holds other calls too.
+MAX_COPIED_BODY_BYTES = 4096
 MAX_GROUP = 255
 LENGTH_BYTES = 4  # of the length prefix of a frame
+TRUNCATED_FRAME_BYTES = 256  # with method and sequence number of the call
 
 I32_FORMAT = struct.Struct(">i")
 U32_FORMAT = struct.Struct(">I")
@@ -66,7 +69,15 @@
 
 
 class FrameDecoder:
-    """Decoder that splits received bytes into frames. Not thread-safe."""
+    """Decoder that splits received bytes into frames. Not thread-safe.
+
+    Attributes:
+        buffer: The received bytes that are not decoded yet.
+        expected_length: Length of the first unread frame with its length prefix; 0 if it is unknown
+            or the frame is being truncated.
+        is_truncated: Whether only the first `TRUNCATED_FRAME_BYTES` of the frame that was yielded
+            last are left.
+    """
 
     def __init__(self, size: int = 4096, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         """Create a decoder whose buffer has blocks of at least `size` bytes.
@@ -75,8 +86,12 @@
         """
         self.buffer = ReceiveBuffer(size)
         self.max_frame_bytes = max_frame_bytes
-        # Length of the first unread frame with its length prefix; 0 if it is unknown.
         self.expected_length = 0
+        self.is_truncated = False
+        # The frame that is being truncated: its first bytes, and the number of bytes that follow
+        # those that were read so far.
+        self._frame_start = bytearray()
+        self._missing_bytes = 0
 
     def writable_view(self) -> memoryview:
         """Return the memory to which the next received bytes must be written."""
@@ -94,6 +109,13 @@
         buffer = self.buffer
         buffer.end += length
         self.expected_length = 0
+        if self._missing_bytes:
+            self._discard_missing_bytes()
+            if self._missing_bytes:
+                return
+            self.is_truncated = True
+            yield memoryview(bytes(self._frame_start))
+        self.is_truncated = False
         while len(buffer) >= LENGTH_BYTES:
             size = I32_FORMAT.unpack_from(buffer.view, buffer.start)[0]
             if not 0 < size <= self.max_frame_bytes:
@@ -103,6 +125,39 @@
                 break
             yield buffer.take(LENGTH_BYTES + size)[LENGTH_BYTES:]
 
+    def needs_large_block(self) -> bool:
+        """Return whether the incomplete frame is too large for a block of minimum size."""
+        return self.expected_length > self.buffer.size
+
+    def is_within_frame(self) -> bool:
+        """Return whether a part of a frame was received."""
+        return bool(len(self.buffer) or self._missing_bytes)
+
+    def truncate_frame(self) -> None:
+        """Keep only the first bytes of the incomplete frame, whose length is known.
+
+        The frame is yielded when its last byte is received.
+        """
+        self._missing_bytes = self.expected_length - LENGTH_BYTES
+        self._frame_start = bytearray()
+        self.buffer.take(LENGTH_BYTES)
+        self.expected_length = 0
+        self._discard_missing_bytes()
+
+    def from_next_frame(self, peeked: bytes) -> bytes:
+        """Return the bytes from the start of the next frame on: unread ones, and `peeked` ones.
+
+        Args:
+            peeked: The bytes that follow the received ones.
+        """
+        return (bytes(self.buffer.unread()) + peeked)[self._missing_bytes :]
+
+    def _discard_missing_bytes(self) -> None:
+        """Consume the received bytes of the frame that is being truncated."""
+        received = self.buffer.take(min(len(self.buffer), self._missing_bytes))
+        self._missing_bytes -= len(received)
+        self._frame_start += received[: TRUNCATED_FRAME_BYTES - len(self._frame_start)]
+
 
 class ValueReader:
     """Sequential reader of the values in a frame. Each method may raise ThriftError."""
@@ -200,6 +255,8 @@
         sequence_number: Number of the call, chosen by the client and repeated in the answer.
         arguments: Reader that is positioned before the arguments.
         read_at: Time at which the call was read from the socket, in monotonic seconds.
+        is_truncated: Whether the end of the arguments was discarded for lack of memory.
+        charged_bytes: Memory that is charged to the connection's account for the call.
     """
 
     method: str
@@ -207,6 +264,8 @@
     sequence_number: int
     arguments: ValueReader
     read_at: float = 0.0
+    is_truncated: bool = False
+    charged_bytes: int = 0
 
 
 def read_call(frame: memoryview) -> MethodCall:
@@ -250,6 +309,8 @@
             reader.skip_value(value_type)
     if fields is None:
         raise ThriftError("no fields")
+    if len(body) <= MAX_COPIED_BODY_BYTES:
+        body = memoryview(bytes(body))
     return _client_request(fields, body, tenant_field)
 
 
--- a/mulleinrelay/policy/overload.py
+++ b/mulleinrelay/policy/overload.py
@@ -17,7 +17,10 @@
 No I/O and no clock: the time is an argument, in ms. Not thread-safe.
 """
 
+from random import Random
+
 from .decay import StepwiseDecay
+from .model import ServiceSettings
 
 # The counts of requests and rejections are halved at this interval in ms.
 COUNT_HALF_LIFE = 2000.0
@@ -91,6 +94,13 @@
     return min(MEAN_RETRY_AFTER * (0.5 + random_fraction), max_retry_after)
 
 
+def choose_retry_after(random: Random, settings: ServiceSettings) -> float:
+    """Return a random Retry-After in ms for a rejected client; 0 if the settings allow none."""
+    if not settings.allows_retry_after:
+        return 0.0
+    return retry_after(random.random(), settings.max_retry_after)
+
+
 def retry_cost(was_rejected: bool, duration: float, expected_duration: float) -> float:
     """Return how many tokens of the retry budget a retry costs.
 
--- a/mulleinrelay/policy/router.py
+++ b/mulleinrelay/policy/router.py
@@ -407,12 +407,7 @@
 
     def _give_up(self, request: Request) -> None:
         """End the request without an answer: reject it if a retry is safe, else fail it."""
-        settings = self.settings
-        retry_after = (
-            overload.retry_after(self.random.random(), settings.max_retry_after)
-            if settings.allows_retry_after
-            else 0.0
-        )
+        retry_after = overload.choose_retry_after(self.random, self.settings)
         if can_client_retry(request, self._now + retry_after):
             self.overload.record_rejection()
             self._sink.reject_request(request, retry_after)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -243,7 +243,11 @@
 
 
 def platform_configuration(
-    addresses=(), event_stream_address="127.0.0.1:1", listen="127.0.0.1:0", **changes
+    addresses=(),
+    event_stream_address="127.0.0.1:1",
+    listen="127.0.0.1:0",
+    memory_mb=192,
+    **changes,
 ):
     """Return a director's configuration as parsed JSON.
 
@@ -252,6 +256,7 @@
             which nothing listens.
         event_stream_address: Address of the event stream; by default, nothing listens there.
         listen: Address for clients.
+        memory_mb: Memory limit of the director.
         changes: Changes of the start settings, as in `start_settings`.
     """
     rows = [
@@ -273,7 +278,7 @@
         "listen": listen,
         "seed": "8c1f",
         "bus": event_stream_address,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
         "known": {"offset": 1, "batch": [event]},
         "settings": start_settings(**changes),
     }
--- a/tests/net/test_codecs.py
+++ b/tests/net/test_codecs.py
@@ -77,6 +77,26 @@
         feed(thrift.FrameDecoder(), struct.pack(">i", length), 4)
 
 
+@pytest.mark.parametrize("step_size", STEP_SIZES)
+def test_truncated_frame_keeps_its_first_bytes_and_the_next_frame(step_size):
+    # Guards against losing the position in the stream when there is no memory for a frame.
+    decoder = thrift.FrameDecoder(64)
+    data = serve_frame(1, FIELDS, b"x" * 3_000) + CANCELLATION
+    frames, received = [], memoryview(data)
+    while len(received):
+        if decoder.needs_large_block():
+            decoder.truncate_frame()
+        view = decoder.writable_view()
+        length = min(step_size, len(view), len(received))
+        view[:length] = received[:length]
+        received = received[length:]
+        frames += [(bytes(frame), decoder.is_truncated) for frame in decoder.decode(length)]
+        assert thrift.cancelled_numbers(decoder.from_next_frame(bytes(received))) <= {3}
+    (first, is_first_truncated), (second, is_second_truncated) = frames
+    assert is_first_truncated and first == data[4 : 4 + thrift.TRUNCATED_FRAME_BYTES]
+    assert not is_second_truncated and second == CANCELLATION[4:]
+
+
 FIELD_MAP = b"\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x01a\x00\x00\x00\x01b"
 UNKNOWN_FIELDS = [
     b"\x02\x00\x09\x01",  # bool
