Share the CPU time of client threads fairly, and bound the cost of a message

Cause: unknown values were skipped one by one (47,000 steps of the interpreter for a message), and each client thread competed for the interpreter on equal terms with the threads that a usual request needs. The same cause on other paths: repeated fields, many readable calls at once, the search of unread bytes for a cancellation before each attempt, and the input of a connection that was closed for bad calls.

Change: at most 1,024 values are read one by one, and collections of a fixed size are skipped at once. Client threads handle calls in turns, one at a time, by start-time fair queueing; the wait is deducted from the request's time. Bytes are searched for a cancellation only if they contain its number. The input of closed connections is discarded at a limited rate. A test that held read_calls to delay the notice of a disconnect holds wait_for_input now, which notices it.

Why it works: one client thread at most competes with the upstream threads and timers, whatever the number of bad clients, and a connection that was idle precedes those that have used CPU time.

--- a/benchmarks/drive.py
+++ b/benchmarks/drive.py
@@ -278,7 +278,7 @@
         began = time.thread_time()
         for message in messages:
             call = parts.thrift.read_call(message)
-            call.read_at = time.monotonic()
+            call.received_at = time.monotonic()
             parts.handle_call(client, call)
         parts.run_due_timers()
         return time.thread_time() - began
--- a/mulleinrelay/net/client_connection.py
+++ b/mulleinrelay/net/client_connection.py
@@ -22,6 +22,7 @@
 
 from ..policy.model import Request
 from . import thrift
+from .call_scheduler import Turn
 from .request_memory import MemoryAccount, RequestMemory
 from .write_queue import Piece, WriteQueue
 
@@ -37,6 +38,7 @@
 # From the half-close to the full close. Calls that the client sends before it notices the
 # half-close arrive within 50 ms plus one round trip.
 LINGER_S = 0.15
+MAX_READS = 16  # from the socket in one turn of the connection, of one block each
 MAX_PENDING_CALLS = 64  # calls that are read ahead on one connection
 CALL_OVERHEAD_BYTES = 1024  # memory of the objects for one call, beside its frame
 # Before the first attempt of a request is sent, the socket is not checked for a disconnect or a
@@ -81,6 +83,8 @@
         last_used_at: Time of the last complete call or of the last answer from `send_answer`,
             whichever is later; the time of the connect before the first call.
         last_read_at: Time at which the socket was last read until it was empty; 0 before that.
+        input_since: Time since which the unread bytes may have been waiting.
+        turn: The connection's place in the order in which calls are handled.
         partial_call_since: Arrival time of the first bytes of an incomplete call; 0 if there is
             none.
         half_closed_at: Time of the half-close, or of the full close by `close_if_idle`; 0 if there
@@ -114,6 +118,8 @@
         self.framing_error = ""
         self.last_used_at = time.monotonic()
         self.last_read_at = 0.0
+        self.input_since = self.last_used_at
+        self.turn = Turn()
         self.partial_call_since = 0.0
         self.half_closed_at = 0.0
 
@@ -135,41 +141,61 @@
 
     # Reading, in the connection's own thread
 
+    def wait_for_input(self) -> bool:
+        """Block until a call is pending or bytes are received.
+
+        Returns:
+            False if no call can follow: the client has closed its side, this side has closed the
+            connection, or a framing error follows the calls that were handled.
+
+        Raises:
+            OSError: If the client has reset the connection.
+        """
+        if self.write_queue.is_shut_down:
+            return False
+        if self.has_received_calls():
+            self.input_since = self.last_read_at or self.input_since
+            return True
+        if self.framing_error or not self.connection.recv(1, socket.MSG_PEEK):
+            return False
+        self.input_since = time.monotonic()
+        return True
+
+    def has_received_calls(self) -> bool:
+        """Return whether complete calls were received and not handled."""
+        return bool(self.pending_calls or self.has_undecoded_frames)
+
     def read_calls(self) -> bool:
-        """Read the received bytes into `pending_calls`; block only if no call is pending.
+        """Read received bytes into `pending_calls` without blocking.
+
+        The method returns when the socket is empty, when no more calls may be read ahead, or after
+        `MAX_READS`, so that a client that floods the connection does not delay the others.
 
         Returns:
-            True if a call is pending. False if the client has closed its side, if this side has
-            shut down the connection in both directions, or if a framing error follows the calls
-            that were handled. The caller must then handle no pending call, so that no call is
-            started for a client that has sent many calls at once and disconnected.
+            False if the client has closed its side, or if this side has shut down the connection in
+            both directions. The caller must then handle no pending call, so that no call is started
+            for a client that has sent many calls at once and disconnected.
 
         Raises:
             OSError: If the client has reset the connection.
         """
-        while self._may_read_ahead():
-            if self.has_undecoded_frames:
-                with self.lock:
-                    self._queue_frames(0)
-                continue
-            if not self.pending_calls and (self.framing_error or not self._wait_for_bytes()):
-                return False
+        for _ in range(MAX_READS):
+            if not self._may_read_ahead():
+                break
             with self.lock:
+                if self.has_undecoded_frames:
+                    self._queue_frames(0)
+                    continue
                 try:
                     length = self._receive()
                 except BlockingIOError:
                     self.last_read_at = time.monotonic()
-                    if self.pending_calls:
-                        return True
-                    continue
+                    return True
                 if not length:
                     return False
-                if not self.framing_error:
-                    self._queue_frames(length)
-                elif self.pending_calls:
-                    # One read is enough to detect a disconnect. Reading on would let a client that
-                    # floods the connection keep this thread from handling the pending calls.
-                    return True
+                if self.framing_error:
+                    break
+                self._queue_frames(length)
         return not self._is_closed_by_peer()
 
     def _may_read_ahead(self) -> bool:
@@ -191,10 +217,6 @@
                 self.decoder.truncate_frame()
         return self.connection.recv_into(self.decoder.writable_view(), 0, socket.MSG_DONTWAIT)
 
-    def _wait_for_bytes(self) -> bool:
-        """Block until bytes are received; return False at the end of the stream."""
-        return bool(self.connection.recv(1, socket.MSG_PEEK))
-
     def _queue_frames(self, length: int) -> None:
         """Queue the calls in received bytes, as many as may be read ahead.
 
@@ -215,7 +237,7 @@
                 self.has_called = True
                 self.last_used_at = now
                 self.partial_call_since = 0.0
-                self._queue_call(thrift.read_call(frame), now)
+                self._queue_call(thrift.read_call(frame))
                 if not self._may_read_ahead():
                     self.has_undecoded_frames = True
                     return
@@ -228,14 +250,14 @@
             (self.partial_call_since or now) if self.decoder.is_within_frame() else 0.0
         )
 
-    def _queue_call(self, call: thrift.MethodCall, now: float) -> None:
+    def _queue_call(self, call: thrift.MethodCall) -> None:
         """Queue a call, or apply a cancellation.
 
         A cancellation of a pending request removes that request. Any other cancellation is queued
         before all pending calls. A cancellation whose sequence number cannot be read is queued last
         like any call, and is an invalid call when it is handled.
         """
-        call.read_at = now
+        call.received_at = self.input_since
         call.is_truncated = self.decoder.is_truncated
         number = thrift.peek_cancelled_number(call) if call.method == "forget" else None
         if number is not None and self._withdraw_pending_request(number):
@@ -272,27 +294,35 @@
         self.pending_calls.clear()
 
     def discard_input(self) -> None:
-        """Half-close the connection after a framing error, once all earlier calls are answered.
+        """Half-close the connection, once all earlier calls are answered, and discard its input.
 
         Received bytes are discarded until the client closes the connection or the lingering close
         times out. There is no half-close if no call was received, or if the client closes the
         connection before all answers are written.
         """
         while self.owes_answer():
+            if not self._discard_received():
+                return
+            time.sleep(POLL_INTERVAL_S)
+        if not self.has_called:
+            return
+        if not self.write_queue.is_shut_down:
+            self.half_close()
+        # `finish_lingering`, called by another thread, ends the read after `LINGER_S`.
+        while self.connection.recv(1, socket.MSG_PEEK) and self._discard_received():
+            time.sleep(POLL_INTERVAL_S)  # limits the CPU time that a flood takes
+
+    def _discard_received(self) -> bool:
+        """Discard received bytes without blocking; return False at the end of the stream."""
+        discarded = self.decoder.writable_view()
+        for _ in range(MAX_READS):
             with self.lock:
                 try:
-                    if not self.connection.recv_into(
-                        self.decoder.writable_view(), 0, socket.MSG_DONTWAIT
-                    ):
-                        return
+                    if not self.connection.recv_into(discarded, 0, socket.MSG_DONTWAIT):
+                        return False
                 except BlockingIOError:
-                    pass
-            time.sleep(POLL_INTERVAL_S)
-        if self.has_called:
-            self.half_close()
-            # `finish_lingering`, called by another thread, ends the read after `LINGER_S`.
-            while self.connection.recv_into(self.decoder.writable_view()):
-                time.sleep(POLL_INTERVAL_S)  # limits the CPU time that a flood takes
+                    break
+        return True
 
     # Answering, in any thread
 
@@ -459,7 +489,9 @@
             if self._is_closed_by_peer():
                 return True
             received = self.decoder.from_next_frame(self._peek(MAX_PEEK_BYTES) or b"")
-            return not self.framing_error and sequence_number in thrift.cancelled_numbers(received)
+            return not self.framing_error and thrift.contains_cancellation(
+                received, sequence_number
+            )
 
     def _has_unread_bytes(self) -> bool:
         return bool(self._peek())
--- a/mulleinrelay/net/client_listener.py
+++ b/mulleinrelay/net/client_listener.py
@@ -13,9 +13,11 @@
 from ..policy.admission import eviction_order
 from ..policy.buffer_sharing import request_memory
 from ..structured_log import StructuredLog
+from .call_scheduler import CallScheduler
 from .client_connection import ClientConnection
 from .request_handler import RequestHandler
 from .request_memory import RequestMemory
+from .thrift import MethodCall
 
 BACKLOG = 1024  # connections that the kernel queues before they are accepted
 # Invalid calls without a valid request between them. A connection with more of them is half-closed
@@ -37,6 +39,7 @@
             until its thread ends.
         client_removed: Condition that is notified when a connection is removed from `clients`.
         max_clients: Maximum number of connections in `clients`.
+        scheduler: Scheduler of the turns in which the connections handle calls.
         request_memory: Memory for received requests, shared by all connections.
     """
 
@@ -51,6 +54,7 @@
         self.request_handler = request_handler
         self.log = log
         self.max_clients = max_clients
+        self.scheduler = CallScheduler()
         self.request_memory = RequestMemory(request_memory(request_handler.config.memory_mb))
         self.listener: socket.socket | None = None
         self.accept_thread = threading.Thread(target=self._accept, name="accept", daemon=True)
@@ -253,21 +257,32 @@
             self._remove(client)
 
     def _handle_calls(self, client: ClientConnection) -> None:
-        while client.read_calls():
-            call = client.pending_calls[0]
-            self.request_handler.handle_call(client, call)
-            client.finish_call(call)
-            if (
-                client.bad_call_count > MAX_BAD_CALLS
-                and not client.open_requests
-                and not client.write_queue.is_shut_down
-            ):
-                self.log.event("bad frame", why=f"{client.bad_call_count} bad calls in a row")
-                client.half_close()
+        """Handle the calls of a connection, each in a turn, and then discard further input."""
+        while client.wait_for_input():
+            self.scheduler.begin(client.turn)
+            try:
+                if not client.read_calls():
+                    return
+                if client.pending_calls:
+                    self._handle_call(client, client.pending_calls[0])
+            finally:
+                self.scheduler.end(client.turn, client.has_received_calls())
         if client.framing_error:
             self.log.event("bad frame", why=client.framing_error)
+        if client.framing_error or client.write_queue.is_shut_down:
             client.discard_input()
 
+    def _handle_call(self, client: ClientConnection, call: MethodCall) -> None:
+        self.request_handler.handle_call(client, call)
+        client.finish_call(call)
+        if (
+            client.bad_call_count > MAX_BAD_CALLS
+            and not client.open_requests
+            and not client.write_queue.is_shut_down
+        ):
+            self.log.event("bad frame", why=f"{client.bad_call_count} bad calls in a row")
+            client.half_close()
+
     def _remove(self, client: ClientConnection) -> None:
         """Close a connection whose thread ends, and release all that it holds.
 
--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -129,7 +129,7 @@
                 self._reject(client, number, decision.retry_after_ms, decision.is_never_executed)
                 return
             context.grant = decision
-        accepted = self._accept(context, request_class, pool, call.read_at)
+        accepted = self._accept(context, request_class, pool, call.received_at)
         with client.lock:
             client.open_requests[number] = accepted
         self.run_request(accepted)
@@ -190,7 +190,7 @@
         context: RequestContext,
         request_class: RequestClass,
         pool: CachePool | None,
-        read_at: float,
+        received_at: float,
     ) -> Request:
         """Pass a request to the coordinator, which rejects it at once if there is no capacity."""
         request = context.request
@@ -202,7 +202,7 @@
         has_capacity = self.admission_thresholds.can_admit(
             request_class, request.is_retry, utilization
         )
-        queued_ms = 1000.0 * (time.monotonic() - read_at)  # since the call was read
+        queued_ms = 1000.0 * (time.monotonic() - received_at)
         return self.coordinator.accept(
             request_class,
             int(request.object, 16),
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -43,6 +43,8 @@
 VERSION = 0x80010000  # of the strict binary protocol; the lowest byte holds the message type
 VERSION_MASK = 0xFFFFFF00
 MAX_NESTING = 16
+# Values in a message that are read one by one. A client's request has about 30.
+MAX_VALUES = 1024
 MAX_FIELDS = 64  # in a client's string map
 MAX_BODY_BYTES = 48_000  # of a request's body
 MAX_FRAME_BYTES = MAX_BODY_BYTES + 16_384
@@ -160,11 +162,27 @@
 
 
 class ValueReader:
-    """Sequential reader of the values in a frame. Each method may raise ThriftError."""
+    """Sequential reader of the values in a frame. Each method may raise ThriftError.
+
+    The number of values that are read one by one is limited, so that no message takes much CPU
+    time, whatever its form.
+    """
 
     def __init__(self, frame: memoryview) -> None:
         self.frame = frame
         self.offset = 0
+        self._values_left = MAX_VALUES
+
+    def _count_values(self, count: int) -> None:
+        """Count values that are about to be read one by one."""
+        self._values_left -= count
+        if self._values_left < 0:
+            raise ThriftError(f"more than {MAX_VALUES} values")
+
+    def read_field_type(self) -> int:
+        """Read the type of the next field of a struct; 0 at the end of the struct."""
+        self._count_values(1)
+        return self.read_byte()
 
     def read_bytes(self, length: int) -> memoryview:
         """Read `length` bytes."""
@@ -210,6 +228,7 @@
         key_type = self.read_byte()
         value_type = self.read_byte()
         size = self.read_size(MAX_FIELDS)
+        self._count_values(2 * size)
         if size and (key_type, value_type) != (STRING, STRING):
             raise ThriftError("a map that is not of strings")
         return {self.read_text(): self.read_text() for _ in range(size)}
@@ -223,24 +242,31 @@
         elif value_type == STRING:
             self.read_binary()
         elif value_type == STRUCT:
-            while (field_type := self.read_byte()) != 0:
+            while (field_type := self.read_field_type()) != 0:
                 self.read_i16()
                 self.skip_value(field_type, depth + 1)
         elif value_type == MAP:
             self._skip_map(depth)
         elif value_type in (SET, LIST):
-            entry_type = self.read_byte()
-            for _ in range(self.read_size(len(self.frame))):
-                self.skip_value(entry_type, depth + 1)
+            self._skip_entries((self.read_byte(),), depth)
         else:
             raise ThriftError(f"an unknown type {value_type}")
 
     def _skip_map(self, depth: int) -> None:
         key_type = self.read_byte()
         value_type = self.read_byte()
-        for _ in range(self.read_size(len(self.frame))):
-            self.skip_value(key_type, depth + 1)
-            self.skip_value(value_type, depth + 1)
+        self._skip_entries((key_type, value_type), depth)
+
+    def _skip_entries(self, types: tuple[int, ...], depth: int) -> None:
+        """Skip the size and the entries of a collection; each entry has values of these types."""
+        size = self.read_size(len(self.frame))
+        if all(each in BYTES_OF_TYPE for each in types):
+            self.read_bytes(size * sum(BYTES_OF_TYPE[each] for each in types))
+            return
+        self._count_values(size * len(types))
+        for _ in range(size):
+            for each in types:
+                self.skip_value(each, depth + 1)
 
 
 @dataclass(slots=True, eq=False)
@@ -254,7 +280,8 @@
         kind: CALL or ONEWAY.
         sequence_number: Number of the call, chosen by the client and repeated in the answer.
         arguments: Reader that is positioned before the arguments.
-        read_at: Time at which the call was read from the socket, in monotonic seconds.
+        received_at: Time at which the call was received, in monotonic seconds. If it is not known,
+            the earliest time that is possible.
         is_truncated: Whether the end of the arguments was discarded for lack of memory.
         charged_bytes: Memory that is charged to the connection's account for the call.
     """
@@ -263,7 +290,7 @@
     kind: int
     sequence_number: int
     arguments: ValueReader
-    read_at: float = 0.0
+    received_at: float = 0.0
     is_truncated: bool = False
     charged_bytes: int = 0
 
@@ -297,7 +324,7 @@
     """
     fields = None
     body = reader.frame[:0]
-    while (value_type := reader.read_byte()) != 0:
+    while (value_type := reader.read_field_type()) != 0:
         field_number = reader.read_i16()
         if (field_number, value_type) == (1, MAP):
             fields = reader.read_string_map()
@@ -351,7 +378,7 @@
         ThriftError: If the argument is missing or cannot be read.
     """
     number = None
-    while (value_type := reader.read_byte()) != 0:
+    while (value_type := reader.read_field_type()) != 0:
         if (reader.read_i16(), value_type) == (1, I32):
             number = reader.read_i32()
         else:
@@ -372,6 +399,16 @@
         return None
 
 
+def contains_cancellation(received: bytes, number: int) -> bool:
+    """Return whether one of the received bytes' complete `forget` calls has this sequence number.
+
+    The bytes must start at the beginning of a frame. They are decoded only if they contain the
+    argument of such a call, so that the search takes little CPU time in a flood of small frames.
+    """
+    argument = _encode_field_head(I32, 1) + I32_FORMAT.pack(number)
+    return argument in received and number in cancelled_numbers(received)
+
+
 def cancelled_numbers(received: bytes) -> set[int]:
     """Return the sequence numbers in all complete `forget` calls among the received bytes.
 
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -68,7 +68,7 @@
     # CPU time, this may happen before the client's thread reads the disconnect or the cancellation.
     has_left = threading.Event()
     resume_reading = hold_calls(
-        monkeypatch, ClientConnection, "read_calls", lambda connection: connection.has_called
+        monkeypatch, ClientConnection, "wait_for_input", lambda connection: connection.has_called
     )
     stay_actions = {
         "calls": lambda client: client.socket.sendall(IS_WELL_CALL),
--- a/tests/net/test_codecs.py
+++ b/tests/net/test_codecs.py
@@ -248,6 +248,50 @@
     assert len(decoded) == len(messages)
 
 
+LARGE = 47_000  # bytes; nearly the largest message
+MAX_READS_PER_MESSAGE = 4 * thrift.MAX_VALUES
+MESSAGES_WITH_MANY_VALUES = {
+    "list of bytes": b"\x0f\x00\x09\x03" + struct.pack(">i", LARGE) + bytes(LARGE),
+    "list of strings": b"\x0f\x00\x09\x0b" + struct.pack(">i", LARGE // 4) + bytes(LARGE),
+    "list of structs": b"\x0f\x00\x09\x0c" + struct.pack(">i", LARGE) + bytes(LARGE),
+    "set of lists": b"\x0e\x00\x09\x0f"
+    + struct.pack(">i", LARGE // 5)
+    + b"\x03\x00\x00\x00\x00" * (LARGE // 5),
+    "map of bytes": b"\x0d\x00\x09\x03\x03" + struct.pack(">i", LARGE // 2) + bytes(LARGE),
+    "map of strings": b"\x0d\x00\x09\x0b\x0b" + struct.pack(">i", LARGE // 8) + bytes(LARGE),
+    "struct of bytes": b"\x0c\x00\x09" + b"\x03\x00\x01\x01" * (LARGE // 4) + b"\x00",
+    "fields": b"\x03\x00\x09\x01" * (LARGE // 4),
+    "bodies": b"\x0b\x00\x02\x00\x00\x00\x00" * (LARGE // 7),
+    "field maps": (b"\x0d\x00\x01\x0b\x0b" + struct.pack(">i", 64) + bytes(512)) * (LARGE // 521),
+}
+
+
+@pytest.mark.parametrize("read", [thrift.read_serve, thrift.read_cancelled_number])
+@pytest.mark.parametrize("shape", MESSAGES_WITH_MANY_VALUES)
+def test_no_message_takes_many_steps_to_read(shape, read, monkeypatch):
+    # Guards against clients whose messages keep the interpreter busy for tens of milliseconds each.
+    reads, read_bytes = [], thrift.ValueReader.read_bytes
+
+    def count_read(reader, length):
+        reads.append(length)
+        return read_bytes(reader, length)
+
+    monkeypatch.setattr(thrift.ValueReader, "read_bytes", count_read)
+    message = MESSAGES_WITH_MANY_VALUES[shape] + b"\x00"
+    with pytest.raises(thrift.ThriftError):
+        read(thrift.ValueReader(memoryview(message)))
+    assert len(reads) <= MAX_READS_PER_MESSAGE
+
+
+def test_only_bytes_with_the_cancellation_are_decoded(monkeypatch):
+    # Guards against a search of many small frames for each attempt of a client's requests.
+    received = CANCELLATION * 1_000 + serve_frame(1, FIELDS, CANCELLATION.replace(b"\3", b"\5"))
+    assert thrift.contains_cancellation(received, 3)
+    assert not thrift.contains_cancellation(received, 5)  # only inside a body
+    monkeypatch.setattr(thrift, "cancelled_numbers", lambda _: 1 / 0)
+    assert not thrift.contains_cancellation(received, 4)
+
+
 @pytest.mark.parametrize(
     ("received", "numbers"),
     [
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -8,12 +8,10 @@
     IS_WELL_CALL,
     RunningDirector,
     cancel_frame,
-    hold_calls,
     serve_frame,
     wait_for,
 )
 
-from mulleinrelay.net.request_handler import RequestHandler
 from mulleinrelay.policy.buffer_sharing import request_memory
 
 pytestmark = pytest.mark.usefixtures("short_drains", "long_timeouts")
@@ -36,29 +34,23 @@
 
 
 def held_bytes(running):
-    return sum(
-        len(call.arguments.frame)
-        for client in list(running.director.listener.clients)
-        for call in list(client.pending_calls)
-    )
-
-
-def received_calls(running):
-    return sum(len(client.pending_calls) for client in list(running.director.listener.clients))
+    """Return the size of all requests that are read ahead or open."""
+    pending, is_open = 0, 0
+    for client in list(running.director.listener.clients):
+        pending += sum(len(call.arguments.frame) for call in list(client.pending_calls))
+        contexts = [request.context for request in list(client.open_requests.values()) if request]
+        is_open += sum(len(context.request.body) for context in contexts if context)
+    return pending + is_open
 
 
 @pytest.mark.parametrize(("client_count", "size"), [(4, 48_000), (16, 48_000), (40, 9_000)])
-def test_clients_that_send_many_requests_at_once_are_not_all_read_into_memory(
-    client_count, size, monkeypatch
-):
+def test_clients_that_send_many_requests_at_once_are_not_all_read_into_memory(client_count, size):
     # Guards against the limit per connection only, by which bad clients exceeded the memory limit.
-    resume = hold_calls(monkeypatch, RequestHandler, "handle_call")
-    with RunningDirector(memory_mb=MEMORY_MB) as running:
+    with RunningDirector(None, memory_mb=MEMORY_MB) as running:
         for _ in range(client_count):
             flood(running.connect_client(), bytes(size), 70)
-        assert wait_for(lambda: received_calls(running) >= client_count)
+        assert wait_for(lambda: held_bytes(running) > request_memory(MEMORY_MB) // 2)
         assert not wait_for(lambda: held_bytes(running) > request_memory(MEMORY_MB), 1.0)
-        resume.set()
 
 
 def test_request_without_memory_for_its_body_is_rejected_and_the_next_one_is_served():
