Keep a slow connection of the event stream while another one is opened beside it

Cause: EventStream._read closed each connection that had no response head after 1.5 s, no byte for 2.5 s or no complete line for 5 s, and the next connection began from nothing with the same limits. A server that always needs longer was never heard. Longer limits would only let a dead connection delay the events for longer.

The four cases of test_drain_is_received_from_a_server_that_is_slow_on_each_connection fail on the commit before: slow head, slow first line, both, and a line that trickles.

Change: an overdue connection is kept and another one is opened beside it (policy/stream_hedging.py); the first one that delivers a line replaces the others. Events are applied once, by number. One thread polls all connections. Tests that held or failed socket.create_connection do so at the place that opens connections now.

A healthy stream has one connection.

--- a/mulleinrelay/net/event_stream.py
+++ b/mulleinrelay/net/event_stream.py
@@ -1,11 +1,12 @@
 """The event stream: endpoint updates and purges.
 
-Events from the configuration are applied first. Then a thread follows the stream and reconnects
-when the stream ends, is silent or skips an event.
+Events from the configuration are applied first. Then a thread follows the stream. It reconnects
+when the stream ends or skips an event, and opens another connection beside one that is silent or
+slow (see `policy.stream_hedging`).
 """
 
 import contextlib
-import socket
+import select
 import threading
 import time
 from collections.abc import Callable, Sequence
@@ -17,17 +18,14 @@
 from ..config.platform import DirectorConfig
 from ..coordinator import RequestCoordinator
 from ..errors import ConfigError
+from ..policy import stream_hedging
 from ..policy.stream_reconnect import ReconnectBackoff
 from ..structured_log import StructuredLog
 from . import sse
+from .stream_connection import StreamConnection
 
-SILENCE_TIMEOUT_S = 2.5  # without any bytes; the server sends a comment line every second
-# For the connect, and then again until the response head is complete. Three silent connections in a
-# row must fit into 7 s.
-HEAD_TIMEOUT_S = 1.5
-LINE_TIMEOUT_S = 5.0  # from one complete line to the next, even if bytes trickle in between
 CATCH_UP_TIMEOUT_S = 0.25  # after the response head; the server sends missed events right after it
-RECEIVE_BYTES = 65_536  # buffer size of one read
+CONNECT_POLL_S = 0.1  # a wait for a connection that is being opened is not ended by `_wake`
 
 NumberedEvent = tuple[int | None, Any]  # number in the `id` line, and data parsed from JSON
 Address = tuple[str, int]
@@ -51,7 +49,8 @@
             raises GapError again.
         lock: Held while events are applied, as the stream's thread and `reconnect_to` both apply
             events and change `last_event_number`.
-        connection: The most recent socket; None before the first connection.
+        connections: The open connections, the oldest first; changed by the stream's thread only,
+            which replaces the list.
         read_configured_address: Function that returns the stream's address in the current
             configuration file, or None if the file cannot be read or is invalid.
         stop_requested: Set by `stop`.
@@ -71,7 +70,7 @@
         self.last_event_number = 0
         self.gap_at = 0
         self.lock = threading.Lock()
-        self.connection: socket.socket | None = None
+        self.connections: list[StreamConnection] = []
         self.reconnect_backoff = ReconnectBackoff(Random(config.seed))
         self.read_configured_address: Callable[[], Address | None] = lambda: None
         self.stop_requested = threading.Event()
@@ -97,10 +96,11 @@
 
         The server sends missed events right after the response head. The wait therefore ends
         `CATCH_UP_TIMEOUT_S` after the head, when the first connection has ended, or after
-        `HEAD_TIMEOUT_S` without a head. With an outdated endpoint list, a new director would send
-        its first requests to endpoints that were announced as draining while it started.
+        `stream_hedging.HEAD_TIMEOUT_S` without a head. With an outdated endpoint list, a new
+        director would send its first requests to endpoints that were announced as draining while it
+        started.
         """
-        if self.head_received.wait(HEAD_TIMEOUT_S):
+        if self.head_received.wait(stream_hedging.HEAD_TIMEOUT_S):
             self.first_connection_ended.wait(CATCH_UP_TIMEOUT_S)
 
     def reconnect_to(self, address: Address, known_events: Sequence[Any] = ()) -> None:
@@ -117,12 +117,10 @@
         self._wake()
 
     def _wake(self) -> None:
-        """Close the connection and end the wait before the next one."""
+        """Close the connections and end the wait before the next one."""
         self.wake_up.set()
-        connection = self.connection
-        if connection is not None:
-            with contextlib.suppress(OSError):  # already closed
-                connection.shutdown(socket.SHUT_RDWR)
+        for connection in self.connections:
+            connection.shut_down()
 
     # Applying events
 
@@ -229,7 +227,9 @@
             reason = "closed"
             is_refused = False
             try:
-                self._follow(*self.address)
+                self._follow(self.address)
+            except EOFError:
+                pass
             except Exception as error:
                 # After any error, the stream is followed again.
                 reason = f"{type(error).__name__}: {error}"
@@ -274,37 +274,96 @@
             self.log.exception("event stream", error)
             return None
 
-    def _follow(self, host: str, port: int) -> None:
-        """Read the stream from one connection until it ends."""
-        connection = socket.create_connection((host, port), timeout=HEAD_TIMEOUT_S)
-        self.connection = connection
+    def _follow(self, address: Address) -> None:
+        """Read the stream until all connections to it have ended, or `_wake` is called.
+
+        Raises:
+            OSError: If the last connection has failed.
+            EOFError: If the server has closed the last connection.
+            SseError: If the bytes on the last connection violate the protocol.
+            GapError: If an event on the last connection shows that others are missing.
+        """
         try:
-            if self.wake_up.is_set():  # `_wake` ran too early to shut down this connection
-                return
-            connection.sendall(sse.stream_request(f"{host}:{port}", self.last_event_number))
-            self._read(connection)
+            last_opened_at = self._open(address)
+            while self.connections and not self.wake_up.is_set():
+                opening_at = stream_hedging.next_opening(
+                    [connection.progress for connection in self.connections], last_opened_at
+                )
+                if time.monotonic() < opening_at:
+                    self._wait_and_read(opening_at)
+                else:
+                    last_opened_at = self._open_another(address)
         finally:
-            connection.close()
-
-    def _read(self, connection: socket.socket) -> None:
-        decoder = sse.SseDecoder()
-        line_count = 0
-        deadline = time.monotonic() + HEAD_TIMEOUT_S
-        while not decoder.is_finished:
-            remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0.0:
-                raise TimeoutError("no complete line received in time")
-            connection.settimeout(min(remaining_s, SILENCE_TIMEOUT_S))
-            piece = connection.recv(RECEIVE_BYTES)
-            if not piece:
-                return
-            events = decoder.feed(piece)
-            if decoder.line_count > line_count:
-                line_count = decoder.line_count
-                deadline = time.monotonic() + LINE_TIMEOUT_S
+            for connection in self.connections:
+                connection.close()
+            self.connections = []
+
+    def _open(self, address: Address) -> float:
+        """Begin to open a connection; return the time of the opening."""
+        now = time.monotonic()
+        connection = StreamConnection(address, self.last_event_number, now)
+        self.connections = [*self.connections, connection]
+        return now
+
+    def _open_another(self, address: Address) -> float:
+        """Open a connection beside those that are overdue; return the time of the opening."""
+        now = time.monotonic()
+        progress = [connection.progress for connection in self.connections]
+        self._close_those([stream_hedging.choose_dropped(progress, now)])
+        why = "no complete line received in time"
+        self.log.event("event stream reconnects", last=self.last_event_number, why=why)
+        with contextlib.suppress(OSError):  # refused, or no descriptor: the others are still open
+            self._open(address)
+        return now
+
+    def _close_those(self, unneeded: Sequence[stream_hedging.StreamProgress | None]) -> None:
+        """Close the connections with this progress."""
+        for connection in self.connections:
+            if connection.progress in unneeded:
+                connection.close()
+        self.connections = [each for each in self.connections if each.progress not in unneeded]
+
+    def _wait_and_read(self, until: float) -> None:
+        """Wait until a connection is ready, or the time is `until`, and handle what is ready."""
+        poll = select.poll()
+        by_descriptor = {connection.fileno(): connection for connection in self.connections}
+        for connection in self.connections:
+            poll.register(connection, connection.awaited_events())
+        wait_s = until - time.monotonic()
+        if not all(connection.is_connected for connection in self.connections):
+            wait_s = min(wait_s, CONNECT_POLL_S)
+        for descriptor, _ in poll.poll(max(1.0, 1000.0 * wait_s)):
+            connection = by_descriptor[descriptor]
+            if connection in self.connections:  # not replaced by another one in this round
+                self._read(connection)
+
+    def _read(self, connection: StreamConnection) -> None:
+        """Read from a connection that is ready, and apply the events; close it if it has ended.
+
+        Raises:
+            The error that has ended the connection, if there is no other connection.
+        """
+        try:
+            events = connection.handle_ready(time.monotonic())
             self._apply_in_order([(event.number, self._parse(event)) for event in events])
-            if line_count:
-                self.head_received.set()
+            if connection.is_finished:
+                raise EOFError("last chunk received")
+        except Exception:
+            self._close_those([connection.progress])
+            if not self.connections:
+                raise
+            return
+        progress = connection.progress
+        if progress.line_count:
+            self.head_received.set()
+            self._close_those(
+                stream_hedging.choose_replaced(
+                    [each.progress for each in self.connections],
+                    progress,
+                    bool(events),
+                    time.monotonic(),
+                )
+            )
 
     def _parse(self, event: sse.ServerSentEvent) -> Any:
         try:
--- a/tests/net/test_event_stream.py
+++ b/tests/net/test_event_stream.py
@@ -19,7 +19,9 @@
     wait_for,
 )
 
-from mulleinrelay.net import event_stream
+from mulleinrelay.net import stream_connection
+from mulleinrelay.net.event_stream import EventStream
+from mulleinrelay.policy import stream_hedging
 from mulleinrelay.policy.model import EndpointState
 
 pytestmark = pytest.mark.usefixtures("short_drains", "long_timeouts")
@@ -44,9 +46,9 @@
         listening_socket, listener.listener = listener.listener, SimpleNamespace(accept=fail)
         with monkeypatch.context() as context:
             context.setattr(
-                event_stream,
+                stream_connection,
                 "socket",
-                SimpleNamespace(create_connection=fail, SHUT_RDWR=socket.SHUT_RDWR),
+                SimpleNamespace(socket=fail, AF_INET=0, SOCK_STREAM=0, SHUT_RDWR=socket.SHUT_RDWR),
             )
             client.send()  # connections that are already open are still served
             assert client.read_answer()[:2] == (1, 0)
@@ -89,7 +91,7 @@
         ("HEAD_TIMEOUT_S", 0.3),
         ("LINE_TIMEOUT_S", 0.4),
     ):
-        monkeypatch.setattr(event_stream, name, timeout_s)
+        monkeypatch.setattr(stream_hedging, name, timeout_s)
     # Each connection takes one script. The script is repeated, because the timeouts are so short
     # that the director may close a connection before it has received the event.
     stand_in = TricklingEventStream(*[[RESPONSE_HEAD, stream_event(2, PURGE), None]] * 9)
@@ -151,8 +153,8 @@
 @pytest.mark.parametrize("event_kind", ["drain", "full snapshot", "purge"])
 def test_restrictions_after_a_gap_are_applied_before_the_missing_events(event_kind, monkeypatch):
     # The grace period of a restriction must not expire while the missing events are requested.
-    monkeypatch.setattr(event_stream, "HEAD_TIMEOUT_S", 60.0)  # the missing events are sent late
-    monkeypatch.setattr(event_stream, "SILENCE_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(stream_hedging, "HEAD_TIMEOUT_S", 60.0)  # the missing events are sent late
+    monkeypatch.setattr(stream_hedging, "SILENCE_TIMEOUT_S", 60.0)
     missing_requested, send_missing = threading.Event(), threading.Event()
 
     class PausedEventStream(StandInEventStream):
@@ -236,7 +238,7 @@
     host, port = new_stream.address.split(":")
     new_address = (host, int(port))
     allow_connecting = hold_calls(
-        monkeypatch, socket, "create_connection", lambda address, **_: address != new_address
+        monkeypatch, EventStream, "_open", lambda _, address: address != new_address
     )
     with RunningDirector() as running:
         drain = endpoint_list_update(running, "DRAINING", "s-01") | {"offset": 2}
@@ -264,3 +266,65 @@
         assert wait_for(
             lambda: stream.last_event_number == 2 and "fault" in running.log.event_names
         )
+
+
+class SlowEventStream(StandInEventStream):
+    """Event stream that is as slow on each connection, whichever script the connection gets."""
+
+    def __init__(self, head_delay_s, line_delay_s=0.0, byte_delay_s=0.0):
+        self.head_delay_s, self.line_delay_s = head_delay_s, line_delay_s
+        self.byte_delay_s, self.event, self.open_count, self.most_open = byte_delay_s, b"", 0, 0
+        super().__init__()
+
+    def serve_connection(self, connection):
+        self.open_count += 1
+        self.most_open = max(self.most_open, self.open_count)
+        try:
+            connection.recv(4096)
+            time.sleep(self.head_delay_s)
+            connection.sendall(RESPONSE_HEAD)
+            time.sleep(self.line_delay_s)
+            for byte in self.event:
+                connection.sendall(bytes((byte,)))
+                time.sleep(self.byte_delay_s)
+            while True:
+                connection.sendall(b":\n\n")
+                time.sleep(0.2)
+        finally:
+            self.open_count -= 1
+
+
+@pytest.mark.parametrize(
+    ("head_delay_s", "line_delay_s", "byte_delay_s"),
+    [(2.0, 0.0, 0.0), (0.0, 3.5, 0.0), (1.7, 2.8, 0.0), (0.0, 0.0, 0.03)],
+)
+def test_drain_is_received_from_a_server_that_is_slow_on_each_connection(
+    head_delay_s, line_delay_s, byte_delay_s, monkeypatch
+):
+    # Guards against a timeout that begins again with each connection: a server that always needs
+    # longer was never heard. The timeouts are those of the program, but for the one of a line.
+    monkeypatch.setattr(stream_hedging, "LINE_TIMEOUT_S", 2.0)
+    stand_in = SlowEventStream(head_delay_s, line_delay_s, byte_delay_s)
+    with RunningDirector(event_stream=stand_in) as running:
+        stand_in.event = stream_event(2, endpoint_list_update(running, "DRAINING", "s-01"))
+        stream = running.director.event_stream
+        stream.reconnect_to(stream.address)
+        assert wait_for(lambda: ready_cache_names(running) == {"s-02", "s-03"}, 15.0)
+        assert stand_in.most_open <= stream_hedging.MAX_CONNECTIONS + 1
+        # All connections but the one that has delivered the event are closed.
+        assert wait_for(lambda: stand_in.open_count == 1, 10.0)
+
+
+def test_move_is_obeyed_while_several_connections_wait_for_a_response_head(monkeypatch):
+    # Guards against a thread that still waits for the old address, and against open connections.
+    monkeypatch.setattr(stream_hedging, "HEAD_TIMEOUT_S", 0.1)
+    old = SlowEventStream(60.0)
+    new = StandInEventStream([RESPONSE_HEAD, stream_event(2, PURGE), None])
+    with RunningDirector(event_stream=old) as running:
+        stream = running.director.event_stream
+        assert wait_for(lambda: old.open_count >= 3)
+        host, port = new.address.split(":")
+        stream.reconnect_to((host, int(port)))
+        assert wait_for(lambda: stream.last_event_number == 2)
+        assert len(stream.connections) == 1
+    new.close()
--- a/tests/net/test_event_stream_start.py
+++ b/tests/net/test_event_stream_start.py
@@ -17,6 +17,7 @@
 
 from mulleinrelay.net import event_stream
 from mulleinrelay.net.client_listener import ClientListener
+from mulleinrelay.policy import stream_hedging
 from mulleinrelay.policy.events import EndpointsUpdated, PurgeReceived
 from mulleinrelay.policy.model import EndpointState
 from mulleinrelay.router_driver import RouterDriver
@@ -30,8 +31,8 @@
     # Without catching up, the first requests would use an outdated endpoint list: the grace period
     # of a drain that was announced during the start may be over. Here the stream sends nothing
     # until the listener has answered a health check.
-    monkeypatch.setattr(event_stream, "HEAD_TIMEOUT_S", 60.0)
-    monkeypatch.setattr(event_stream, "SILENCE_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(stream_hedging, "HEAD_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(stream_hedging, "SILENCE_TIMEOUT_S", 60.0)
     monkeypatch.setattr(event_stream, "CATCH_UP_TIMEOUT_S", 2.5)
     drain = stream_event(
         2, {"topology": {"version": 2, "servers": [{"id": "s-01", "state": "DRAINING"}]}}
@@ -66,7 +67,7 @@
 
 @pytest.mark.parametrize("failure", ["refused", "closed", "silent"])
 def test_director_becomes_healthy_without_the_stream(failure, monkeypatch):
-    monkeypatch.setattr(event_stream, "HEAD_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(stream_hedging, "HEAD_TIMEOUT_S", 0.2)
     monkeypatch.setattr(event_stream, "CATCH_UP_TIMEOUT_S", 60.0)
     event_stream_server = StandInEventStream(
         *{"silent": [[None]] * 9, "closed": [[]] * 9}.get(failure, [])
@@ -247,13 +248,13 @@
 def test_events_are_applied_once_and_none_is_skipped(
     scripts, last_event_ids, applied_count, logged_count, monkeypatch
 ):
-    monkeypatch.setattr(event_stream, "HEAD_TIMEOUT_S", 60.0)
-    monkeypatch.setattr(event_stream, "SILENCE_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(stream_hedging, "HEAD_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(stream_hedging, "SILENCE_TIMEOUT_S", 60.0)
 
     def yield_last_script():
         """Yield the pieces of the last script; shorten the timeout before the last bytes."""
         yield from scripts[-1][:-2]
-        monkeypatch.setattr(event_stream, "SILENCE_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(stream_hedging, "SILENCE_TIMEOUT_S", 0.3)
         yield from scripts[-1][-2:]
 
     event_stream_server, router_events, handle = (
