Let connections with many calls keep their turn for a while, at a lower weight

Evidence: an instrumented scratch copy took 460 to 2,800 turns a second of about 1 ms each, at 0.3 to 0.6 s of CPU time per second; usual connections waited up to 1.5 s for a turn.

Change: a connection with more calls keeps its turn for 2 ms; two connections may have a turn at a time, since one of them is often in a system call; a connection that still has calls at the end of its turn counts 16 times its use, and a new one begins 10 ms of virtual time later. Near the limit of the table, connections whose clients have left are shut down and end their wait.

--- a/mulleinrelay/net/client_listener.py
+++ b/mulleinrelay/net/client_listener.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 import threading
 import time
@@ -27,6 +28,7 @@
 ACCEPT_RETRY_S = 0.05  # wait after a failed accept
 # Maximum wait for a closing connection to release its file descriptor, before the next check.
 REMOVAL_WAIT_S = 0.02
+RELEASE_INTERVAL_S = 0.05  # between two searches for connections whose clients have left
 
 
 class ClientListener:
@@ -55,6 +57,7 @@
         self.log = log
         self.max_clients = max_clients
         self.scheduler = CallScheduler()
+        self._next_release_at = 0.0  # monotonic time from which disconnected clients are looked for
         self.request_memory = RequestMemory(request_memory(request_handler.config.memory_mb))
         self.listener: socket.socket | None = None
         self.accept_thread = threading.Thread(target=self._accept, name="accept", daemon=True)
@@ -208,6 +211,8 @@
         """
         max_clients = self.max_clients
         eviction_threshold = max_clients - max(1, max_clients // SPARE_DIVISOR)
+        if len(self.clients) > eviction_threshold:
+            self._release_disconnected()
         while (count := len(self.clients)) > eviction_threshold:
             is_full = count >= max_clients
             closing = [client for client in self.clients if client.write_queue.is_shut_down]
@@ -227,6 +232,28 @@
             self.client_removed.wait(REMOVAL_WAIT_S)
         return True
 
+    def _release_disconnected(self) -> None:
+        """Shut down the connections whose clients have left while their calls wait for a turn.
+
+        The caller holds the lock. Without this, the connections of many clients that send much,
+        disconnect and return would fill the table, and idle clients would be evicted.
+        """
+        now = time.monotonic()
+        if now < self._next_release_at:
+            return
+        self._next_release_at = now + RELEASE_INTERVAL_S
+        by_descriptor = {
+            client.connection.fileno(): client
+            for client in self.clients
+            if not client.write_queue.is_shut_down
+        }
+        poll = select.poll()
+        for descriptor in by_descriptor:
+            poll.register(descriptor, select.POLLRDHUP)
+        for descriptor, _ in poll.poll(0):
+            by_descriptor[descriptor].shut_down()
+            self.scheduler.cancel(by_descriptor[descriptor].turn)
+
     def _eviction_candidates(self) -> list[ClientConnection]:
         """Return the idle connections in the order of eviction; the caller holds the lock."""
         idle = [
@@ -257,21 +284,29 @@
             self._remove(client)
 
     def _handle_calls(self, client: ClientConnection) -> None:
-        """Handle the calls of a connection, each in a turn, and then discard further input."""
-        while client.wait_for_input():
-            self.scheduler.begin(client.turn)
+        """Handle the calls of a connection in its turns, and then discard further input."""
+        is_open = True
+        while is_open and client.wait_for_input():
+            if not self.scheduler.begin(client.turn):
+                return
             try:
-                if not client.read_calls():
-                    return
-                if client.pending_calls:
-                    self._handle_call(client, client.pending_calls[0])
+                is_open = self._handle_turn(client)
             finally:
                 self.scheduler.end(client.turn, client.has_received_calls())
         if client.framing_error:
             self.log.event("bad frame", why=client.framing_error)
-        if client.framing_error or client.write_queue.is_shut_down:
+        if is_open and (client.framing_error or client.write_queue.is_shut_down):
             client.discard_input()
 
+    def _handle_turn(self, client: ClientConnection) -> bool:
+        """Handle calls until the turn must end; return False if the client has disconnected."""
+        while client.read_calls():
+            if client.pending_calls:
+                self._handle_call(client, client.pending_calls[0])
+            if not client.has_received_calls() or not self.scheduler.may_continue(client.turn):
+                return True
+        return False
+
     def _handle_call(self, client: ClientConnection, call: MethodCall) -> None:
         self.request_handler.handle_call(client, call)
         client.finish_call(call)
--- a/mulleinrelay/policy/fair_queue.py
+++ b/mulleinrelay/policy/fair_queue.py
@@ -3,14 +3,21 @@
 Start-time fair queueing: each flow, here a connection, has a virtual time up to which it has used
 its share. A flow that was idle continues at the current virtual time, so it precedes all flows that
 have used CPU time since then, however many calls these have waiting. Source: Goyal, Vin and Cheng,
-"Start-time fair queueing", IEEE/ACM Transactions on Networking 5(5), 1997, with equal weights.
+"Start-time fair queueing", IEEE/ACM Transactions on Networking 5(5), 1997.
 
-No I/O and no clock: the cost of a turn is an argument, in any unit. Not thread-safe.
+A flow that still has calls when its turn ends has a lower weight, so that hundreds of such flows
+leave the others more than an equal share. A new flow begins a little behind the others, so that
+flows that begin at the same time, or begin anew again and again, do not precede those in service.
+
+No I/O and no clock: the cost of a turn is an argument, in seconds of CPU time. Not thread-safe.
 """
 
 import heapq
 import itertools
 
+BACKLOG_COST_FACTOR = 16.0  # the inverse of the weight of a flow that still has calls
+NEW_FLOW_DELAY_S = 0.01  # of virtual time
+
 
 class Flow:
     """One user of the queue, which has at most one turn at a time.
@@ -19,52 +26,67 @@
         start_tag: Virtual time at which the current turn begins, or the last one began.
         finish_tag: Virtual time at which the last turn ended.
         is_backlogged: Whether the flow was going to request another turn when the last one ended.
+        is_new: Whether the flow has had no turn yet.
     """
 
     def __init__(self) -> None:
         self.start_tag = 0.0
         self.finish_tag = 0.0
         self.is_backlogged = False
+        self.is_new = True
 
 
 class FairQueue:
-    """Queue of flows that wait for their turn. One flow at a time has the turn."""
+    """Queue of flows that wait for their turn. A limited number of flows have a turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_turns: int) -> None:
+        """Create an empty queue for at most `max_turns` turns at the same time."""
+        self.max_turns = max_turns
+        self._turn_count = 0
         self._virtual_time = 0.0
-        self._current: Flow | None = None
         self._waiting: list[tuple[float, int, Flow]] = []
         self._numbers = itertools.count()  # first come, first served among equal tags
 
     def request_turn(self, flow: Flow) -> bool:
-        """Give the flow the turn if no flow has it, or else add the flow to the queue.
+        """Give the flow a turn if one is free, or else add the flow to the queue.
 
         Returns:
-            Whether the flow has the turn.
+            Whether the flow has a turn.
         """
         flow.start_tag = flow.finish_tag
         if not flow.is_backlogged:
             flow.start_tag = max(self._virtual_time, flow.finish_tag)
-        if self._current is None:
+        if self._turn_count < self.max_turns:
             self._begin_turn(flow)
             return True
+        if flow.is_new:
+            flow.start_tag += NEW_FLOW_DELAY_S
         heapq.heappush(self._waiting, (flow.start_tag, next(self._numbers), flow))
         return False
 
+    def remove(self, flow: Flow) -> bool:
+        """Remove a flow that waits for its turn; return whether it was waiting."""
+        waiting = [entry for entry in self._waiting if entry[2] is not flow]
+        was_waiting = len(waiting) < len(self._waiting)
+        if was_waiting:
+            heapq.heapify(waiting)
+            self._waiting = waiting
+        return was_waiting
+
     def end_turn(self, flow: Flow, cost: float, is_backlogged: bool) -> Flow | None:
-        """End the turn of the flow, and give the turn to the waiting flow with the lowest tag.
+        """End the turn of the flow, and give it to the waiting flow with the lowest tag.
 
         Args:
-            flow: The flow that has the turn.
-            cost: What the turn has used.
+            flow: A flow that has a turn.
+            cost: CPU time in seconds that the turn has used.
             is_backlogged: Whether the flow will request another turn at once.
 
         Returns:
-            The flow that has the turn now; None if no flow is waiting.
+            The flow that has the turn now; None if no flow was waiting.
         """
-        flow.finish_tag = flow.start_tag + cost
+        flow.finish_tag = flow.start_tag + cost * (BACKLOG_COST_FACTOR if is_backlogged else 1.0)
         flow.is_backlogged = is_backlogged
-        self._current = None
+        self._turn_count -= 1
         if not self._waiting:
             return None
         next_flow = heapq.heappop(self._waiting)[2]
@@ -72,5 +94,6 @@
         return next_flow
 
     def _begin_turn(self, flow: Flow) -> None:
-        self._current = flow
+        self._turn_count += 1
+        flow.is_new = False
         self._virtual_time = max(self._virtual_time, flow.start_tag)
