Forget what a connection has used once it was idle, so that it precedes busy ones

Cause: such a client never has two calls, so it counted as light as a usual one, and the equal share of hundreds was less than a usual client needs; a usual client was still charged for its last request.

Change: what a flow has used is forgotten after 50 ms without a call, and among equal tags such a flow is first; the delay of a new connection is 1 ms of virtual time in place of 10, as virtual time passes slowly beside light flows.

--- a/mulleinrelay/net/call_scheduler.py
+++ b/mulleinrelay/net/call_scheduler.py
@@ -27,6 +27,7 @@
         super().__init__()
         self.is_cancelled = False
         self.began_at = 0.0  # in monotonic seconds
+        self.ended_at = time.monotonic()
         # Held while the connection has no turn; the thread that ends a turn releases it.
         self.wake_up = threading.Lock()
         self.wake_up.acquire()
@@ -45,8 +46,9 @@
         Returns:
             False if the wait was cancelled. There is no turn to end then.
         """
+        idle = time.monotonic() - turn.ended_at
         with self._lock:
-            has_turn = self._queue.request_turn(turn)
+            has_turn = self._queue.request_turn(turn, idle)
         if not has_turn:
             turn.wake_up.acquire()
         turn.began_at = time.monotonic()
@@ -72,7 +74,8 @@
             turn: The turn that ends.
             is_backlogged: Whether the connection has more calls to handle.
         """
-        cost = time.monotonic() - turn.began_at
+        turn.ended_at = time.monotonic()
+        cost = turn.ended_at - turn.began_at
         with self._lock:
             next_turn = self._queue.end_turn(turn, cost, is_backlogged)
         if isinstance(next_turn, Turn):
--- a/mulleinrelay/policy/fair_queue.py
+++ b/mulleinrelay/policy/fair_queue.py
@@ -5,18 +5,24 @@
 have used CPU time since then, however many calls these have waiting. Source: Goyal, Vin and Cheng,
 "Start-time fair queueing", IEEE/ACM Transactions on Networking 5(5), 1997.
 
-A flow that still has calls when its turn ends has a lower weight, so that hundreds of such flows
-leave the others more than an equal share. A new flow begins a little behind the others, so that
-flows that begin at the same time, or begin anew again and again, do not precede those in service.
+Hundreds of busy flows leave a usual one an equal share that may be too small. Three rules favor the
+usual one, whose calls come now and then:
 
-No I/O and no clock: the cost of a turn is an argument, in seconds of CPU time. Not thread-safe.
+* What a flow has used is forgotten if it was idle for `IDLE_RESET_S`. A client that repeats a call
+  as soon as it is answered is not idle for so long.
+* A flow that still has calls when its turn ends has a lower weight.
+* A new flow begins a little behind the others, so that flows that begin at the same time, or begin
+  anew again and again, do not precede those in service.
+
+No I/O and no clock: times are arguments, in seconds. Not thread-safe.
 """
 
 import heapq
 import itertools
 
 BACKLOG_COST_FACTOR = 16.0  # the inverse of the weight of a flow that still has calls
-NEW_FLOW_DELAY_S = 0.01  # of virtual time
+NEW_FLOW_DELAY_S = 0.001  # of virtual time
+IDLE_RESET_S = 0.05  # of real time
 
 
 class Flow:
@@ -44,29 +50,38 @@
         self.max_turns = max_turns
         self._turn_count = 0
         self._virtual_time = 0.0
-        self._waiting: list[tuple[float, int, Flow]] = []
-        self._numbers = itertools.count()  # first come, first served among equal tags
+        # Among equal tags, flows that were idle are first, then those that came first.
+        self._waiting: list[tuple[float, bool, int, Flow]] = []
+        self._numbers = itertools.count()
 
-    def request_turn(self, flow: Flow) -> bool:
+    def request_turn(self, flow: Flow, idle: float) -> bool:
         """Give the flow a turn if one is free, or else add the flow to the queue.
 
+        Args:
+            flow: The flow.
+            idle: Time in seconds since the end of its last turn.
+
         Returns:
             Whether the flow has a turn.
         """
-        flow.start_tag = flow.finish_tag
-        if not flow.is_backlogged:
+        was_idle = idle >= IDLE_RESET_S and not (flow.is_backlogged or flow.is_new)
+        if was_idle:
+            flow.start_tag = self._virtual_time
+        elif flow.is_backlogged:
+            flow.start_tag = flow.finish_tag
+        else:
             flow.start_tag = max(self._virtual_time, flow.finish_tag)
         if self._turn_count < self.max_turns:
             self._begin_turn(flow)
             return True
         if flow.is_new:
             flow.start_tag += NEW_FLOW_DELAY_S
-        heapq.heappush(self._waiting, (flow.start_tag, next(self._numbers), flow))
+        heapq.heappush(self._waiting, (flow.start_tag, not was_idle, next(self._numbers), flow))
         return False
 
     def remove(self, flow: Flow) -> bool:
         """Remove a flow that waits for its turn; return whether it was waiting."""
-        waiting = [entry for entry in self._waiting if entry[2] is not flow]
+        waiting = [entry for entry in self._waiting if entry[-1] is not flow]
         was_waiting = len(waiting) < len(self._waiting)
         if was_waiting:
             heapq.heapify(waiting)
@@ -89,7 +104,7 @@
         self._turn_count -= 1
         if not self._waiting:
             return None
-        next_flow = heapq.heappop(self._waiting)[2]
+        next_flow = heapq.heappop(self._waiting)[-1]
         self._begin_turn(next_flow)
         return next_flow
 
--- a/tests/net/test_call_scheduler.py
+++ b/tests/net/test_call_scheduler.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 from helpers import IS_WELL_CALL, RunningDirector, call_frame, hold_calls, wait_for
@@ -10,6 +11,7 @@
 from mulleinrelay.net.call_scheduler import CallScheduler, Turn
 from mulleinrelay.net.client_connection import LINGER_S, ClientConnection
 from mulleinrelay.net.request_handler import RequestHandler
+from mulleinrelay.policy import fair_queue
 
 pytestmark = pytest.mark.usefixtures("short_drains", "long_timeouts")
 
@@ -41,15 +43,17 @@
     monkeypatch.setattr(call_scheduler, "QUANTUM_S", 0.0)  # one call in a turn
     record = record_calls(monkeypatch)
     with RunningDirector() as running:
+        usual = running.connect_client()
+        usual.socket.sendall(IS_WELL_CALL)
+        assert usual.read_answer()[:2] == (1, 0)
+        (usual_connection,) = running.director.listener.clients
+        record["order"].clear()
         resume = hold_calls(monkeypatch, RequestHandler, "handle_call")
         flooding = [running.connect_client() for _ in range(flooding_count)]
         for client in flooding:
             client.socket.sendall(IS_WELL_CALL * 40)
         assert resume.reached.wait(10.0)
-        clients = running.director.listener.clients
-        assert wait_for(lambda: len(clients) == flooding_count)
-        flooding_connections = list(clients)
-        usual = running.connect_client()
+        time.sleep(2.0 * fair_queue.IDLE_RESET_S)
         usual.socket.sendall(IS_WELL_CALL)
         queue = running.director.listener.scheduler._queue
         waiting_count = flooding_count + 1 - call_scheduler.MAX_TURNS
@@ -58,11 +62,7 @@
         assert usual.read_answer()[:2] == (1, 0)
         for client in flooding:
             assert [client.read_answer()[1] for _ in range(40)] == [0] * 40
-        before = next(
-            index
-            for index, connection in enumerate(record["order"])
-            if connection not in flooding_connections
-        )
+        before = record["order"].index(usual_connection)
         # Each flooding client may have one call handled in the meantime, and those whose turns were
         # held or were in progress at the end another one.
         assert before <= flooding_count + 2 * call_scheduler.MAX_TURNS
--- a/tests/policy/test_fair_queue.py
+++ b/tests/policy/test_fair_queue.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mulleinrelay.policy import fair_queue
 from mulleinrelay.policy.fair_queue import FairQueue, Flow
 
 
@@ -12,7 +13,7 @@
 
     def __init__(self, count):
         self.queue, self.flows = FairQueue(1), [Flow() for _ in range(count)]
-        granted = [self.queue.request_turn(flow) for flow in self.flows]
+        granted = [self.queue.request_turn(flow, 0.0) for flow in self.flows]
         assert granted == [True] + [False] * (count - 1)
         self.current, self.used = self.flows[0], dict.fromkeys(self.flows, 0.0)
 
@@ -22,7 +23,7 @@
         self.used[flow] = self.used.get(flow, 0.0) + cost
         is_busy = flow in self.flows
         self.current = self.queue.end_turn(flow, cost, is_busy)
-        if is_busy and self.queue.request_turn(flow):
+        if is_busy and self.queue.request_turn(flow, 0.0):
             self.current = flow
 
 
@@ -32,7 +33,7 @@
     busy, usual = BusyFlows(count), Flow()
     for _ in range(20 * count):
         busy.end_turn(1.0)
-    busy.queue.request_turn(usual)
+    busy.queue.request_turn(usual, 0.0)
     turns = 0
     while busy.current is not usual:
         busy.end_turn(1.0)
@@ -57,7 +58,7 @@
     for _ in range(1000):
         busy.end_turn(1.0)
     busy.flows.append(idle)
-    busy.queue.request_turn(idle)
+    busy.queue.request_turn(idle, 0.0)
     before = dict(busy.used)
     for _ in range(300):
         busy.end_turn(1.0)
@@ -68,20 +69,20 @@
 def test_every_waiting_flow_gets_its_turn_once():
     source, queue = random.Random(1), FairQueue(1)
     flows = [Flow() for _ in range(50)]
-    assert queue.request_turn(flows[0])
-    assert not any(queue.request_turn(flow) for flow in flows[1:])
+    assert queue.request_turn(flows[0], 0.0)
+    assert not any(queue.request_turn(flow, 0.0) for flow in flows[1:])
     served, current = [], flows[0]
     while current is not None:
         served.append(current)
         current = queue.end_turn(current, source.random(), False)
     assert len(served) == 50 and set(served) == set(flows)
-    assert queue.request_turn(flows[3])
+    assert queue.request_turn(flows[3], 0.0)
 
 
 @pytest.mark.parametrize("max_turns", [1, 2, 3])
 def test_number_of_turns_at_the_same_time_is_limited(max_turns):
     queue, flows = FairQueue(max_turns), [Flow() for _ in range(6)]
-    granted = [queue.request_turn(flow) for flow in flows]
+    granted = [queue.request_turn(flow, 0.0) for flow in flows]
     assert granted == [True] * max_turns + [False] * (6 - max_turns)
     current = flows[:max_turns]
     served = len(current)
@@ -96,7 +97,7 @@
 def test_flow_that_waits_can_be_removed():
     queue, flows = FairQueue(1), [Flow() for _ in range(5)]
     for flow in flows:
-        queue.request_turn(flow)
+        queue.request_turn(flow, 0.0)
     assert queue.remove(flows[2]) and not queue.remove(flows[2]) and not queue.remove(flows[0])
     served, current = [], flows[0]
     while current is not None:
@@ -113,7 +114,7 @@
     used_before = sum(busy.used.values())
     light_turns = 0
     for _ in range(300):
-        busy.queue.request_turn(light)
+        busy.queue.request_turn(light, 0.0)
         while busy.current is not light:
             busy.end_turn(0.002)
         light_turns += 1
@@ -126,12 +127,33 @@
     # Guards against bad clients that reconnect again and again to be first.
     queue, holder, usual = FairQueue(1), Flow(), Flow()
     for flow in (usual, holder):
-        queue.request_turn(flow)
+        queue.request_turn(flow, 0.0)
         queue.end_turn(flow, 0.001, False)
-    queue.request_turn(holder)
+    queue.request_turn(holder, 0.0)
     new = [Flow() for _ in range(100)]
     for flow in new:
-        queue.request_turn(flow)
-    queue.request_turn(usual)
+        queue.request_turn(flow, 0.0)
+    queue.request_turn(usual, 0.0)
     assert queue.end_turn(holder, 0.001, False) is usual
     assert queue.end_turn(usual, 0.001, False) is new[0]
+
+
+@pytest.mark.parametrize("count", [2, 64, 340])
+def test_flow_that_was_idle_is_not_charged_for_its_last_turn(count):
+    # Guards against clients that repeat a call at once: hundreds of them, each with one call at a
+    # time, left a usual client less than it needs.
+    busy, usual = BusyFlows(count), Flow()
+    for _ in range(5 * count):
+        flow = busy.current
+        busy.current = busy.queue.end_turn(flow, 0.001, False)
+        assert not busy.queue.request_turn(flow, 0.001)
+    for number in range(20):
+        assert not busy.queue.request_turn(usual, fair_queue.IDLE_RESET_S)
+        turns = 0
+        while busy.current is not usual:
+            flow = busy.current
+            busy.current = busy.queue.end_turn(flow, 0.001, False)
+            busy.queue.request_turn(flow, 0.001)
+            turns += 1
+        assert turns <= 2 or number == 0  # the first turn of a new flow comes later
+        busy.current = busy.queue.end_turn(usual, 0.005, False)
