Review case 6: an answer whose body has a negative length is passed on as served

A cache node's spoilt answer with the length -1 for the body reaches the client as served with 0 bytes; too short, too long and zero lengths are noticed. The stand-ins of the second review stand in review/stand_2. Nothing is fixed.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds what the scripts of the second review start beside the director: the stand-ins in
+# review/stand_2 (Python, standard library only). To be run after the build of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+.venv/bin/python -m compileall -q review/stand_2
