Review case 7: an order runs twice when its tenant's old cell is removed

A repeat of an order whose key only one cell knows is sent to another cell if the new version of the assignment no longer has the cell in which the director knows the first try to be. Nothing is fixed.

--- a/review/stand_2/stand.py
+++ b/review/stand_2/stand.py
@@ -200,6 +200,7 @@
         self.zone = zone
         self.state = "SERVING"
         self.started_ms = 0
+        self.cell = 0
         self.port = 0
         self.copies: dict[tuple[str, str], float] = {}
         self.pulls: list[Pull] = []
@@ -294,7 +295,7 @@
             "addr": f"127.0.0.1:{self.port}",
             "zone": self.zone,
             "kind": self.kind,
-            "cell": 0,
+            "cell": self.cell,
             "state": self.state,
             "weight": 4,
             "started_ms": self.started_ms,
@@ -520,10 +521,10 @@
 class Director:
     """A director as the platform starts it."""
 
-    def __init__(self, world: "World", name: str, more: str = "") -> None:
+    def __init__(self, world: "World", name: str, environment: dict[str, str]) -> None:
         self.world = world
         self.name = name
-        self.more = more
+        self.environment = environment
         self.port = free_port()
         self.process: subprocess.Popen[bytes] | None = None
         self.path = os.path.join(world.folder, f"{name}.json")
@@ -552,12 +553,12 @@
         """Start the program and wait until it says that it is ready."""
         self.configure()
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            command = tomllib.load(file)["run"] + self.more
+            command = tomllib.load(file)["run"]
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command],
             cwd=ROOT,
-            env=os.environ | {"LB_CONFIG": self.path, "LB_NAME": self.name},
+            env=os.environ | {"LB_CONFIG": self.path, "LB_NAME": self.name} | self.environment,
             stdout=log,
             stderr=log,
         )
@@ -619,9 +620,9 @@
         version = len(self.bus.events) + 1
         self.bus.tell({"topology": {"version": version, "full": full, "servers": servers}})
 
-    async def director(self, name: str, more: str = "") -> Director:
-        """Start a director."""
-        director = Director(self, name, more)
+    async def director(self, name: str, environment: dict[str, str] | None = None) -> Director:
+        """Start a director, with further variables of its environment."""
+        director = Director(self, name, environment or {})
         self.directors.append(director)
         await director.start()
         return director
