--- a/mulleinrelay/lab/fleet/node_server.py
+++ b/mulleinrelay/lab/fleet/node_server.py
@@ -247,7 +247,7 @@
             buffer[:count] = view[:count]
             view = view[count:]
             for items in session.arrays.decode(count):
-                self._on_command(session, [bytes(item) for item in items])
+                self._on_command(session, resp.parse_command(items))
                 if session.connection.is_closed:
                     return
 
--- a/mulleinrelay/net/resp.py
+++ b/mulleinrelay/net/resp.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from ..errors import ProtocolError
@@ -16,8 +16,12 @@
 MAX_ITEMS = 8  # in an array
 MAX_HEAD_BYTES = 32  # of the line with the length of an array or a bulk string
 LINE_END = b"\r\n"
+NULL_STRING = b"-1"  # length of a bulk string that stands for no value
 NO_FIELDS = "-"
 
+# An item of an array; None is a null bulk string.
+Item = memoryview | None
+
 OUTCOME_BY_WORD = {
     b"DONE": Outcome.SERVED,
     b"KEEP": Outcome.SERVED,
@@ -48,7 +52,9 @@
 class ArrayDecoder:
     """Decoder that splits received bytes into arrays of bulk strings. Not thread-safe.
 
-    The items are views of the receive buffer. Offsets count from the first unread byte.
+    The items are views of the receive buffer, or None for null bulk strings. A null string is not
+    the same as an empty one, and the caller must not read one as the other. Offsets count from the
+    first unread byte.
     """
 
     def __init__(self, size: int = 65_536) -> None:
@@ -61,13 +67,14 @@
     def _begin_array(self) -> None:
         self.missing_items = -1  # items of the array still to be read; -1 until its head is read
         self.scanned_bytes = 0  # length of the part of the array that was scanned
-        self.spans: list[tuple[int, int]] = []  # start and end offset of each scanned item
+        # Start and end offset of each scanned item; None for a null string.
+        self.spans: list[tuple[int, int] | None] = []
 
     def writable_view(self) -> memoryview:
         """Return the memory to which the next received bytes must be written."""
         return self.buffer.writable_view(self.expected_length)
 
-    def decode(self, length: int) -> Iterator[list[memoryview]]:
+    def decode(self, length: int) -> Iterator[list[Item]]:
         """Yield the arrays that are complete.
 
         Args:
@@ -81,36 +88,37 @@
         while (array := self._next_array()) is not None:
             yield array
 
-    def _next_array(self) -> list[memoryview] | None:
+    def _next_array(self) -> list[Item] | None:
         """Consume and return an array; return None if it is incomplete."""
         if self.missing_items < 0:
-            count = self._next_head(b"*")
-            if count is None:
+            digits = self._next_head(b"*")
+            if digits is None:
                 return None
-            if not 0 < count <= MAX_ITEMS:
-                raise RespError(f"an array of {count} items")
-            self.missing_items = count
+            self.missing_items = _parse_length(digits)
+            if not 0 < self.missing_items <= MAX_ITEMS:
+                raise RespError(f"an array of {self.missing_items} items")
         while self.missing_items:
             if not self._scan_bulk_string():
                 return None
             self.missing_items -= 1
         array = self.buffer.take(self.scanned_bytes)
-        items = [array[start:end] for start, end in self.spans]
+        items = [array[span[0] : span[1]] if span is not None else None for span in self.spans]
         self._begin_array()
         return items
 
     def _scan_bulk_string(self) -> bool:
         """Record the span of the next item; return False if the item is incomplete."""
         before = self.scanned_bytes
-        size = self._next_head(b"$")
-        if size is None:
+        digits = self._next_head(b"$")
+        if digits is None:
             return False
-        if not -1 <= size <= MAX_BULK_BYTES:
+        if digits == NULL_STRING:
+            self.spans.append(None)
+            return True
+        size = _parse_length(digits)
+        if size > MAX_BULK_BYTES:
             raise RespError(f"a bulk string of {size} bytes")
         start = self.scanned_bytes
-        if size < 0:  # a null string
-            self.spans.append((start, start))
-            return True
         end = start + size + len(LINE_END)
         if end > len(self.buffer):
             self.scanned_bytes = before
@@ -123,8 +131,8 @@
         self.scanned_bytes = end
         return True
 
-    def _next_head(self, mark: bytes) -> int | None:
-        """Skip a head line and return its number; return None if the line is incomplete."""
+    def _next_head(self, mark: bytes) -> bytes | None:
+        """Skip a head line and return what follows its mark; return None if it is incomplete."""
         start = self.buffer.start + self.scanned_bytes
         head = bytes(self.buffer.view[start : min(self.buffer.end, start + MAX_HEAD_BYTES)])
         if head and head[:1] != mark:
@@ -134,11 +142,15 @@
             if len(head) >= MAX_HEAD_BYTES:
                 raise RespError(f"a head line without CR LF in {MAX_HEAD_BYTES} bytes")
             return None
-        digits = head[1:end]
-        if not digits.removeprefix(b"-").isdigit():
-            raise RespError(f"expected a number, found {digits!r}")
         self.scanned_bytes += end + len(LINE_END)
-        return int(digits)
+        return head[1:end]
+
+
+def _parse_length(digits: bytes) -> int:
+    """Return the number in a head line, which must consist of digits alone."""
+    if not digits.isdigit():
+        raise RespError(f"expected a length, found {digits!r}")
+    return int(digits)
 
 
 @dataclass(slots=True, eq=False)
@@ -184,9 +196,23 @@
         return self.outcome
 
 
-def parse_answer(items: list[memoryview], load_report_fields: dict[str, str]) -> EndpointAnswer:
+def parse_command(items: Sequence[Item]) -> list[bytes]:
+    """Return the items of a command, copied out of the receive buffer.
+
+    Raises:
+        RespError: If an item is a null string.
+    """
+    strings = [bytes(item) for item in items if item is not None]
+    if len(strings) < len(items):
+        raise RespError("a command with a null string")
+    return strings
+
+
+def parse_answer(items: Sequence[Item], load_report_fields: dict[str, str]) -> EndpointAnswer:
     """Parse an array as an answer.
 
+    Only an answer that does not serve the request may have a null body.
+
     Args:
         items: Id, word, fields and an optional body.
         load_report_fields: This program's names of the figures in a load report, by the names on
@@ -197,21 +223,26 @@
     """
     if not 3 <= len(items) <= 4:
         raise RespError(f"an answer of {len(items)} items")
-    word = bytes(items[1])
+    request_id, word_item, fields = items[:3]
+    if request_id is None or word_item is None or fields is None:
+        raise RespError("an answer without id, word or fields")
+    word = bytes(word_item)
     outcome = OUTCOME_BY_WORD.get(word)
     if outcome is None and word not in HEALTH_BY_WORD:
         raise RespError(f"an unknown word {word[:16]!r}")
-    if word == b"DONE" and len(items) < 4:  # must not be read as an empty object
+    body = items[3] if len(items) > 3 else fields[:0]
+    has_no_object = body is None or (word == b"DONE" and len(items) < 4)
+    if has_no_object and outcome == Outcome.SERVED:  # must not be read as an empty object
         raise RespError("an answer without the body of the object")
     try:
         answer = EndpointAnswer(
-            str(items[0], "ascii"),
+            str(request_id, "ascii"),
             outcome,
-            items[3] if len(items) > 3 else items[2][:0],
+            body or fields[:0],
             word == b"KEEP",
             is_healthy=HEALTH_BY_WORD.get(word, True),
         )
-        _read_fields(answer, str(items[2], "ascii"), load_report_fields)
+        _read_fields(answer, str(fields, "ascii"), load_report_fields)
     except ValueError as error:
         raise RespError(f"an answer that cannot be read: {error}") from error
     return answer
--- a/mulleinrelay/net/sse.py
+++ b/mulleinrelay/net/sse.py
@@ -3,6 +3,7 @@
 The body may be chunked. This module uses no sockets and no clocks.
 """
 
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,7 @@
 MAX_HEAD_BYTES = 16_384
 MAX_DATA_LINES = 1024  # in one event; each line may have up to MAX_LINE_BYTES
 MAX_CHUNK_HEAD_BYTES = 64
+CHUNK_LENGTH = re.compile(rb"[0-9a-fA-F]+")
 HEAD_END = b"\r\n\r\n"
 LINE_END_BYTES = 2  # CR LF after each chunk
 STATE_BY_WORD = {
@@ -125,11 +127,11 @@
             if len(line) > MAX_CHUNK_HEAD_BYTES:
                 raise SseError(f"a chunk head of over {MAX_CHUNK_HEAD_BYTES} bytes")
             return False
-        try:
-            length = int(line.partition(b";")[0], 16)
-        except ValueError as error:
-            raise SseError(f"a chunk of length {line[:16]!r}") from error
-        if length <= 0:
+        digits = line.partition(b";")[0].strip()
+        if not CHUNK_LENGTH.fullmatch(digits):
+            raise SseError(f"a chunk of length {line[:16]!r}")
+        length = int(digits, 16)
+        if not length:
             self.is_finished = True
             return False
         self.chunk_bytes_left = length + LINE_END_BYTES
@@ -163,7 +165,7 @@
             self.data.append(value)
             if len(self.data) > MAX_DATA_LINES:
                 raise SseError(f"an event of over {MAX_DATA_LINES} data lines")
-        elif name == "id" and value.isdecimal():
+        elif name == "id" and value.isascii() and value.isdecimal():
             self.number = int(value)
         return None
 
--- a/mulleinrelay/standins/environment.py
+++ b/mulleinrelay/standins/environment.py
@@ -110,7 +110,7 @@
         session = _NodeSession(connection)
         while (length := connection.recv_into(arrays.writable_view())) > 0:
             for items in arrays.decode(length):
-                word, command_id, *rest = [bytes(item) for item in items]
+                word, command_id, *rest = resp.parse_command(items)
                 if word == b"PULL":
                     self._handle_pull(session, command_id, rest[0])
                     if not self.node.is_alive:
--- a/tests/net/test_codecs.py
+++ b/tests/net/test_codecs.py
@@ -327,6 +327,11 @@
         b"*" + b"1" * 40,
         b"*1\r\n:5\r\n",
         b"*1\r\n$-2\r\n",
+        b"*1\r\n$-0\r\n\r\n",
+        b"*1\r\n$-01\r\n",
+        b"*1\r\n$+1\r\na\r\n",
+        b"*1\r\n$\r\n\r\n",
+        b"*-0\r\n",
         b"*1\r\n$262145\r\n",
         b"*1\r\n$2\r\nabXX",
         b"*1\r\n$1_0\r\n",
@@ -351,11 +356,22 @@
         (b"a1", b"FIT", b"rep=util:1e999", b""),
         (b"a1", b"FIT", b"rep=x1:", b""),
         (b"a1",) * 5,
+        (b"a1", b"DONE", b"-", None),
+        (b"a1", b"DONE", None, b"x"),
+        (b"a1", None, b"-", b"x"),
+        (None, b"DONE", b"-", b"x"),
+        (b"a1", b"KEEP", b"entity=4b", None),
     ],
 )
 def test_unreadable_answers_are_rejected(items):
     with pytest.raises(resp.RespError):
-        resp.parse_answer([memoryview(item) for item in items], {})
+        resp.parse_answer([memoryview(item) if item is not None else None for item in items], {})
+
+
+def test_command_with_a_null_string_is_rejected():
+    assert resp.parse_command([memoryview(b"KILL"), memoryview(b"9b")]) == [b"KILL", b"9b"]
+    with pytest.raises(resp.RespError):
+        resp.parse_command([memoryview(b"KILL"), None])
 
 
 @pytest.mark.parametrize(
@@ -467,6 +483,10 @@
         b"hello\r\n\r\n",
         b"x" * 20000,
         HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n-5\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n+5\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0x5\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1_0\r\n",
     ],
 )
 def test_response_that_is_not_the_stream_is_rejected(response):
--- a/tests/net/test_upstream_connections.py
+++ b/tests/net/test_upstream_connections.py
@@ -173,6 +173,52 @@
         assert client.read_answer() == (1, 0, {}, b"bytes")
 
 
+def spoilt_answer(request_id, replaced):
+    """Return an answer of which the length lines of some items are replaced."""
+    items = {"request_id": request_id, "word": b"DONE", "fields": b"why=HIT", "body": b"bytes"}
+    return b"*4\r\n" + b"".join(
+        replaced.get(name, b"$%d" % len(item)) + b"\r\n%s\r\n" % item
+        for name, item in items.items()
+    )
+
+
+@pytest.mark.usefixtures("long_timeouts")
+@pytest.mark.parametrize("request_class", ["pages", "pay"])
+@pytest.mark.parametrize(
+    "replaced",
+    [
+        {"body": b"$-1"},
+        {"body": b"$-0"},
+        {"body": b"$0"},
+        {"body": b"$3"},
+        {"body": b"$+5"},
+        {"fields": b"$-1"},
+        {"word": b"$-1"},
+        {"request_id": b"$-1"},
+    ],
+)
+def test_answer_with_a_length_that_does_not_fit_is_never_passed_on(request_class, replaced):
+    # Guards against an object of 0 bytes that no endpoint made: a null string (length -1) was read
+    # as an empty one, and the answer was passed on before the bytes after it were found unreadable.
+    class SpoilingEndpoint(StandInEndpoint):
+        def answer(self, connection, request_id, fields):
+            if len(running.commands()) == 1:
+                connection.sendall(spoilt_answer(request_id, replaced))
+            else:
+                connection.sendall(resp.command(request_id, *HIT_ANSWER))
+
+    with RunningDirector() as running:
+        for endpoint in running.endpoints:
+            endpoint.__class__ = SpoilingEndpoint
+        client = running.connect_client()
+        client.send(request_class)
+        answer = client.read_answer()
+        # The spoilt answer was an execution. Only a request of the safe class is repeated.
+        is_safe = request_class == "pages"
+        assert answer == ((1, 0, {}, b"bytes") if is_safe else (1, 2, {}, b""))
+        assert len(running.commands()) == (2 if is_safe else 1)
+
+
 @pytest.mark.usefixtures("long_timeouts")
 def test_refused_connection_proves_that_nothing_was_executed(reserve_port):
     running = RunningDirector()
