--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -20,7 +20,7 @@
     Served,
 )
 from ..policy import overload
-from ..policy.admission import AdmissionThresholds
+from ..policy.admission import AdmissionThresholds, ResourceUtilization
 from ..policy.model import KEYED, CachePool, ClientRequest, Request, RequestClass, SendAttempt
 from ..structured_log import StructuredLog
 from . import thrift
@@ -194,14 +194,7 @@
     ) -> Request:
         """Pass a request to the coordinator, which rejects it at once if there is no capacity."""
         request = context.request
-        utilization = max(
-            self.coordinator.pending_count() / self.max_requests,
-            self.coordinator.cpu_utilization(),
-            self.upstream.fullness(),
-        )
-        has_capacity = self.admission_thresholds.can_admit(
-            request_class, request.is_retry, utilization
-        )
+        has_capacity = self._has_capacity(request, request_class)
         queued_ms = 1000.0 * (time.monotonic() - received_at)
         return self.coordinator.accept(
             request_class,
@@ -216,6 +209,18 @@
             pool=pool,
         )
 
+    def _has_capacity(self, request: ClientRequest, request_class: RequestClass) -> bool:
+        """Return whether a request may be accepted; log which resource is short if not."""
+        resource, utilization = ResourceUtilization(
+            self.coordinator.pending_count() / self.max_requests,
+            self.coordinator.cpu_utilization(),
+            self.upstream.fullness(),
+        ).scarcest()
+        if self.admission_thresholds.can_admit(request_class, request.is_retry, utilization):
+            return True
+        self.log.event("no capacity", resource=resource, utilization=round(utilization, 2))
+        return False
+
     def _reject(
         self, client: ClientConnection, number: int, retry_after_ms: float, is_never_executed: bool
     ) -> None:
--- a/mulleinrelay/net/resp.py
+++ b/mulleinrelay/net/resp.py
@@ -149,7 +149,7 @@
 def _parse_length(digits: bytes) -> int:
     """Return the number in a head line, which must consist of digits alone."""
     if not digits.isdigit():
-        raise RespError(f"expected a length, found {digits!r}")
+        raise RespError(f"expected a number, found {digits!r}")
     return int(digits)
 
 
--- a/mulleinrelay/policy/admission.py
+++ b/mulleinrelay/policy/admission.py
@@ -20,6 +20,7 @@
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .model import IDEMPOTENT, RequestClass
 
@@ -96,6 +97,18 @@
     return has_called, has_called and is_within_call, has_sent_request, last_used_at
 
 
+class ResourceUtilization(NamedTuple):
+    """Utilization of each of a director's scarce resources, from 0 (idle) to 1 (exhausted)."""
+
+    pending_requests: float
+    cpu: float
+    upstream_connections: float
+
+    def scarcest(self) -> tuple[str, float]:
+        """Return the name and the utilization of the scarcest resource."""
+        return max(self._asdict().items(), key=lambda entry: entry[1])
+
+
 class AdmissionThresholds:
     """Utilization below which the requests of each request class are accepted.
 
--- a/mulleinrelay/router_actions.py
+++ b/mulleinrelay/router_actions.py
@@ -47,8 +47,12 @@
         self._cancelled: list[Attempt] = []
 
     def set_timer(self, delay: float, kind: TimerKind, subject: Request | Attempt) -> None:
-        """Set a timer that is due in `delay` ms."""
-        due = self._clock() + delay
+        """Set a timer that is due in `delay` ms; at once if the delay is negative.
+
+        The lateness of a timer counts as a lack of CPU time, so it must not include the time by
+        which a request was overdue before its timers were set.
+        """
+        due = self._clock() + max(0.0, delay)
         self.timers.add(due, kind, subject)
         self._wake(due)
 
--- a/tests/net/test_request_handler.py
+++ b/tests/net/test_request_handler.py
@@ -252,3 +252,5 @@
         assert client.read_answer()[1] == page_result
         client.send("order")
         assert client.read_answer()[1] == 0
+        has_logged_cause = any(fields.get("resource") == "cpu" for fields in running.log.fields)
+        assert has_logged_cause == bool(lateness)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -196,6 +196,16 @@
     assert fixture.coordinator.cpu_utilization() == pytest.approx(utilization)
 
 
+def test_a_request_that_waited_beyond_its_deadline_does_not_count_as_a_lack_of_cpu_time():
+    # Guards against rejected requests of all clients while one client floods its connection: the
+    # time for which the flood's calls had waited unread was measured as the lateness of timers.
+    fixture = CoordinatorFixture()
+    request = fixture.accept(remaining_time=-5000.0)
+    assert isinstance(fixture.run_to_result(request), Rejected)
+    fixture.coordinator.run_due_timers()
+    assert fixture.coordinator.cpu_utilization() == 0.0
+
+
 def test_wait_until_ends_early_for_an_earlier_timer():
     fixture = CoordinatorFixture()
     fixture.use_real_clock()
