--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -21,6 +21,7 @@
 )
 from ..policy import overload
 from ..policy.admission import AdmissionThresholds, ResourceUtilization
+from ..policy.deadlines import FINAL_RESPONSE_MARGIN
 from ..policy.model import KEYED, CachePool, ClientRequest, Request, RequestClass, SendAttempt
 from ..structured_log import StructuredLog
 from . import thrift
@@ -118,6 +119,11 @@
         request_class = self._request_class(request)
         number = call.sequence_number
         self._check_sequence_number(client, number)
+        queued_ms = 1000.0 * (time.monotonic() - call.received_at)
+        remaining_time = min(request.remaining_time, request_class.client_timeout) - queued_ms
+        if remaining_time <= FINAL_RESPONSE_MARGIN:
+            self._reject_unopened(client, call, "no time left when it was read")
+            return
         if not self._open(client, call, request):
             return
         context = RequestContext(client, number, request)
@@ -129,7 +135,7 @@
                 self._reject(client, number, decision.retry_after_ms, decision.is_never_executed)
                 return
             context.grant = decision
-        accepted = self._accept(context, request_class, pool, call.received_at)
+        accepted = self._accept(context, request_class, pool, remaining_time)
         with client.lock:
             client.open_requests[number] = accepted
         self.run_request(accepted)
@@ -165,7 +171,16 @@
     def _reject_truncated(self, client: ClientConnection, call: thrift.MethodCall) -> None:
         """Reject a request for whose body there was no memory."""
         self._check_sequence_number(client, call.sequence_number)
-        self.log.event("request rejected", why="no memory for its body")
+        self._reject_unopened(client, call, "no memory for its body")
+
+    def _reject_unopened(
+        self, client: ClientConnection, call: thrift.MethodCall, reason: str
+    ) -> None:
+        """Reject a request that has not become an open request.
+
+        The router does not count it, since it says nothing about the load of the endpoints.
+        """
+        self.log.event("request rejected", why=reason)
         retry_after = overload.choose_retry_after(self.random, self.config.settings)
         client.send_reply(call, thrift.rejected_reply(call.sequence_number, retry_after))
 
@@ -190,19 +205,18 @@
         context: RequestContext,
         request_class: RequestClass,
         pool: CachePool | None,
-        received_at: float,
+        remaining_time: float,
     ) -> Request:
         """Pass a request to the coordinator, which rejects it at once if there is no capacity."""
         request = context.request
         has_capacity = self._has_capacity(request, request_class)
-        queued_ms = 1000.0 * (time.monotonic() - received_at)
         return self.coordinator.accept(
             request_class,
             int(request.object, 16),
             int(request.part),
             request.group,
             request.size_kb,
-            min(request.remaining_time, request_class.client_timeout) - queued_ms,
+            remaining_time,
             request.is_retry,
             context,
             has_capacity=has_capacity,
--- a/mulleinrelay/policy/popularity.py
+++ b/mulleinrelay/policy/popularity.py
@@ -9,6 +9,11 @@
 to show the fraction. Objects that are hot in a whole location are then spread to more caches by
 each of hundreds of directors, although each director rarely receives requests for them.
 
+The number of counted objects is bounded, as clients may request new objects at any rate. When the
+counts are full, a request for another object is not counted, but reduces each count by one. A count
+is therefore too low by at most the number of requests divided by `MAX_OBJECTS`. Source: Misra and
+Gries, "Finding repeated elements", Science of Computer Programming 2(2), 1982.
+
 No I/O and no clock: the time is an argument, in ms. Not thread-safe.
 """
 
@@ -24,6 +29,7 @@
 WINDOW = 10_000.0
 # Maximum multiple of its length to which a window with few requests is extended.
 MAX_WINDOWS = 3
+MAX_OBJECTS = 8192  # that are counted in a window
 
 
 class Popularity:
@@ -50,8 +56,11 @@
         is_window_over = now >= self._window_started_at + window
         if is_window_over:
             self._begin_window(now)
-        self._counts[key] = self._counts.get(key, 0) + 1
         self._total += 1
+        if key in self._counts or len(self._counts) < MAX_OBJECTS:
+            self._counts[key] = self._counts.get(key, 0) + 1
+        else:
+            self._reduce_counts()
         return is_window_over
 
     def count(self, key: Hashable) -> float:
@@ -64,6 +73,10 @@
         requests_per_cache = max(MIN_HOT_COUNT, HOT_FRACTION * total)
         return 1 + int(self.count(key) / requests_per_cache)
 
+    def _reduce_counts(self) -> None:
+        """Reduce all counts by one, and remove the objects without a count."""
+        self._counts = {key: count - 1 for key, count in self._counts.items() if count > 1}
+
     def _begin_window(self, now: float) -> None:
         self._previous_counts = self._counts
         self._previous_total = self._total
--- a/tests/net/test_request_handler.py
+++ b/tests/net/test_request_handler.py
@@ -198,6 +198,23 @@
         )
 
 
+def test_request_without_time_left_is_rejected_and_not_counted_by_the_router():
+    # Guards against a client whose calls wait unread for long and that makes the director take its
+    # rejections for an overload, which withholds retries from the requests of all clients.
+    with RunningDirector(HIT_ANSWER) as running:
+        client, router = running.connect_client(), running.director.coordinator.router
+        for _ in range(20):
+            client.send(patience="0.5")
+            assert client.read_answer()[1] == 1
+        assert not router.overload.rejected and not running.commands()
+        assert not running.director.coordinator.pending_count()
+        client.send()
+        assert client.read_answer()[1] == 0
+        assert {fields.get("why") for fields in running.log.fields} >= {
+            "no time left when it was read"
+        }
+
+
 @pytest.mark.parametrize("violation", ["number", "many", "id", "repeats"])
 def test_protocol_violation_is_answered_and_affects_no_other_request(violation):
     # The violations are: two open requests with the same sequence number, too many open requests on
--- a/tests/policy/test_popularity.py
+++ b/tests/policy/test_popularity.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mulleinrelay.policy.popularity import MAX_WINDOWS, WINDOW, Popularity
+from mulleinrelay.policy.popularity import MAX_OBJECTS, MAX_WINDOWS, WINDOW, Popularity
 
 HOT, OTHER = 1, 2
 
@@ -48,6 +48,17 @@
     assert sum(count in cache_counts for count in found_counts) >= min_runs_of_100
 
 
+def test_counts_of_ever_new_objects_are_bounded_and_a_hot_object_is_still_found():
+    # Guards against memory that grows with each new object that a client at full speed requests.
+    popularity = Popularity(0.0)
+    for number in range(6 * MAX_OBJECTS):
+        popularity.record(1.0, OTHER + number)
+        if number % 20 == 0:
+            popularity.record(1.0, HOT)
+    assert len(popularity._counts) <= MAX_OBJECTS
+    assert popularity.cache_count(HOT) == 3  # 1/21 of the requests
+
+
 @pytest.mark.parametrize(
     ("requests", "window"),
     [
