--- a/mulleinrelay/config/platform.py
+++ b/mulleinrelay/config/platform.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 from ..errors import ConfigError
+from ..policy.memory_limits import MemoryLimits, memory_limits
 from ..policy.model import IDEMPOTENT, KEYED, UNSAFE, RequestClass, ServiceSettings, SlowStartPolicy
 
 Choice = TypeVar("Choice")
@@ -288,6 +289,11 @@
     max_attempts_per_connection: int
     prefers_open_connections: bool = False
 
+    @property
+    def memory_limits(self) -> MemoryLimits:
+        """The limits of the uses of memory."""
+        return memory_limits(self.memory_mb, self.max_descriptors)
+
 
 def parse_config(text: bytes | str) -> DirectorConfig:
     """Read the configuration from JSON.
--- a/mulleinrelay/coordinator.py
+++ b/mulleinrelay/coordinator.py
@@ -51,7 +51,7 @@
 from .router_actions import PendingActions
 from .router_driver import RouterDriver
 from .structured_log import StructuredLog
-from .timers import TimerKind
+from .timers import TimerKind, request_of
 
 __all__ = [
     "CancelAttempt",
@@ -418,7 +418,7 @@
             requests_with_work: dict[Request, None] = {}
             while (timer := self._actions.timers.pop_due(now)) is not None:
                 kind, subject = timer
-                request = subject if isinstance(subject, Request) else subject.request
+                request = request_of(subject)
                 pending = self.pending_requests.get(request)
                 if pending is None:
                     continue
--- a/mulleinrelay/director.py
+++ b/mulleinrelay/director.py
@@ -24,11 +24,6 @@
     from .membership.config import FleetConfig
     from .membership.service import MembershipService
 
-# Fractions of the file descriptors for connections of clients and for upstream connections. The
-# remaining descriptors are for the event stream, management and files.
-CLIENT_FRACTION = 0.5
-UPSTREAM_FRACTION = 0.4
-
 CLOSE_IDLE_INTERVAL = 250.0  # ms between two searches for idle connections
 PING_INTERVAL = 25.0  # ms between two searches for silent upstream connections
 TIMER_ERROR_WAIT_S = 0.05  # wait after an error in the thread of the timers
@@ -93,12 +88,9 @@
         self.stop_requested = threading.Event()
         self.stopped = threading.Event()
         self.coordinator = RequestCoordinator(self.clock, config.seed, config.settings, log)
-        max_upstream = int(UPSTREAM_FRACTION * config.max_descriptors)
-        self.upstream = UpstreamConnections(self.coordinator, self.clock, log, config, max_upstream)
+        self.upstream = UpstreamConnections(self.coordinator, self.clock, log, config)
         self.request_handler = RequestHandler(config, self.coordinator, self.upstream, log)
-        self.listener = ClientListener(
-            config.listen, self.request_handler, log, int(CLIENT_FRACTION * config.max_descriptors)
-        )
+        self.listener = ClientListener(config.listen, self.request_handler, log)
         self.event_stream = EventStream(config, self.coordinator, log)
         self.cell_service = self._build_cell_service(cells)
         self.request_handler.admission_control = self.cell_service
--- a/mulleinrelay/net/client_connection.py
+++ b/mulleinrelay/net/client_connection.py
@@ -39,8 +39,8 @@
 # half-close arrive within 50 ms plus one round trip.
 LINGER_S = 0.15
 MAX_READS = 16  # from the socket in one turn of the connection, of one block each
-MAX_PENDING_CALLS = 64  # calls that are read ahead on one connection
-CALL_OVERHEAD_BYTES = 1024  # memory of the objects for one call, beside its frame
+MAX_PENDING_CALLS = 32  # calls that are read ahead on one connection
+CALL_OVERHEAD_BYTES = 2048  # memory of the objects for one call, beside its frame
 # Before the first attempt of a request is sent, the socket is not checked for a disconnect or a
 # cancellation if it was read until it was empty within this time.
 RECENT_READ_S = 0.02
@@ -50,6 +50,7 @@
 # Queued pieces of answers on one connection. A client that reads its answers never has this many,
 # and each piece, however small, has a high overhead in memory.
 MAX_UNREAD_ANSWERS = 256
+PIECE_OVERHEAD_BYTES = 512  # memory of the objects for a queued piece, beside its bytes
 
 
 class ClientConnection:
@@ -405,6 +406,16 @@
         if len(self.write_queue.pending) > MAX_UNREAD_ANSWERS:
             self.write_queue.shut_down()
 
+    def unread_bytes(self) -> int:
+        """Return the memory of the queued answers; 0 if the connection was closed.
+
+        The closed connection's thread releases that memory soon.
+        """
+        if self.write_queue.is_shut_down:
+            return 0
+        queue = self.write_queue
+        return queue.pending_bytes + PIECE_OVERHEAD_BYTES * len(queue.pending)
+
     def owes_answer(self) -> bool:
         """Return whether calls are pending, requests are open or answers are unwritten.
 
--- a/mulleinrelay/net/client_listener.py
+++ b/mulleinrelay/net/client_listener.py
@@ -12,7 +12,6 @@
 from collections.abc import Sequence
 
 from ..policy.admission import eviction_order
-from ..policy.buffer_sharing import request_memory
 from ..structured_log import StructuredLog
 from .call_scheduler import CallScheduler
 from .client_connection import ClientConnection
@@ -41,6 +40,7 @@
             until its thread ends.
         client_removed: Condition that is notified when a connection is removed from `clients`.
         max_clients: Maximum number of connections in `clients`.
+        max_unread_bytes: Maximum memory of the answers that all clients together have not read.
         scheduler: Scheduler of the turns in which the connections handle calls.
         request_memory: Memory for received requests, shared by all connections.
     """
@@ -50,26 +50,33 @@
         address: tuple[str, int],
         request_handler: RequestHandler,
         log: StructuredLog,
-        max_clients: int,
     ) -> None:
         self.address = address
         self.request_handler = request_handler
         self.log = log
-        self.max_clients = max_clients
+        limits = request_handler.config.memory_limits
+        self.max_clients = limits.max_clients
+        self.max_unread_bytes = limits.unread_answer_bytes
         self.scheduler = CallScheduler()
         self._next_release_at = 0.0  # monotonic time from which disconnected clients are looked for
-        self.request_memory = RequestMemory(request_memory(request_handler.config.memory_mb))
+        self.request_memory = RequestMemory(limits.request_bytes)
         self.listener: socket.socket | None = None
         self.accept_thread = threading.Thread(target=self._accept, name="accept", daemon=True)
         self.lock = threading.Lock()
         self.clients: dict[ClientConnection, None] = {}
         self.client_removed = threading.Condition(self.lock)
-        request_handler.count_unread_bytes = self._count_unread_bytes
+        request_handler.limit_unread_answers = self.limit_unread_answers
 
-    def _count_unread_bytes(self) -> int:
-        """Return the total size in bytes of the queued answers, which clients have not read."""
+    def limit_unread_answers(self) -> None:
+        """Disconnect the client with the most unread answers if all clients have too many."""
         with self.lock:
-            return sum(client.write_queue.pending_bytes for client in self.clients)
+            unread_bytes = {client: client.unread_bytes() for client in self.clients}
+        total = sum(unread_bytes.values())
+        if total <= self.max_unread_bytes:
+            return
+        largest = max(unread_bytes, key=lambda client: unread_bytes[client])
+        self.log.event("client does not read", bytes=unread_bytes[largest], all=total)
+        largest.shut_down()
 
     def start(self) -> None:
         """Start to listen and start the accept loop.
--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -32,9 +32,6 @@
 
 MAX_OPEN_REQUESTS = 32  # on one connection
 REQUESTS_PER_MB = 8  # pending requests per MB of memory; each takes some KB, its body up to 48 KB
-# Maximum fraction of the director's memory for answers that clients have not read. While it is
-# exceeded, a client that is sent an answer and does not read it at once is disconnected.
-MAX_UNREAD_FRACTION = 0.2
 
 
 class RequestHandler:
@@ -48,8 +45,8 @@
         is_healthy: The director's answer to health checks of clients.
         max_requests: Number of requests pending at the coordinator at which the memory counts as
             fully used, so that no further request is admitted.
-        count_unread_bytes: Function that returns the total size in bytes of the answers that
-            clients have not read; set by the listener.
+        limit_unread_answers: Function that is called when a client has not read an answer at once,
+            and that limits the memory of such answers; set by the listener.
     """
 
     def __init__(
@@ -69,7 +66,7 @@
         self.max_requests = int(REQUESTS_PER_MB * config.memory_mb)
         self.admission_thresholds = AdmissionThresholds(config.request_classes.values())
         self.is_healthy = False
-        self.count_unread_bytes: Callable[[], int] = lambda: 0
+        self.limit_unread_answers: Callable[[], None] = lambda: None
         upstream.run_request = self.run_request
         upstream.has_client_left = self._has_client_left
 
@@ -88,12 +85,14 @@
             elif call.method == "forget":
                 self._handle_cancellation(client, call)
             elif call.method == "isWell":
-                client.send_reply(call, thrift.reply("isWell", number, b"", {}, self.is_healthy))
+                self._send_reply(
+                    client, call, thrift.reply("isWell", number, b"", {}, self.is_healthy)
+                )
             else:
                 reply = thrift.application_exception(
                     call.method, number, thrift.UNKNOWN_METHOD, "unknown method"
                 )
-                client.send_reply(call, reply)
+                self._send_reply(client, call, reply)
         except thrift.ThriftError as error:
             client.bad_call_count += 1
             self.log.event("bad call", method=call.method, why=str(error))
@@ -101,7 +100,7 @@
                 reply = thrift.application_exception(
                     call.method, number, thrift.PROTOCOL_ERROR, str(error)
                 )
-                client.send_reply(call, reply)
+                self._send_reply(client, call, reply)
 
     # Requests
 
@@ -182,7 +181,7 @@
         """
         self.log.event("request rejected", why=reason)
         retry_after = overload.choose_retry_after(self.random, self.config.settings)
-        client.send_reply(call, thrift.rejected_reply(call.sequence_number, retry_after))
+        self._send_reply(client, call, thrift.rejected_reply(call.sequence_number, retry_after))
 
     def _check_sequence_number(self, client: ClientConnection, number: int) -> None:
         """Raise ThriftError if the sequence number is in use or too many requests are open.
@@ -274,7 +273,7 @@
             self.coordinator.discard(request)
             self._return_grant(context, request, False, True)
             number = context.sequence_number
-            context.client.send_answer(number, thrift.failed_reply(number))
+            self._send_answer(context.client, number, thrift.failed_reply(number))
 
     def _return_grant(
         self, context: RequestContext, request: Request, is_served: bool, is_owed: bool
@@ -295,19 +294,27 @@
             answer = step.answer
             fields = {"ok304": "1"} if answer.is_not_modified else {}
             body = b"" if answer.is_not_modified else answer.body
-            client.send_answer(number, thrift.reply("serve", number, body, fields, True))
-            if client.write_queue.pending_bytes:
-                self._enforce_unread_limit(client)
+            self._send_answer(client, number, thrift.reply("serve", number, body, fields, True))
         elif isinstance(step, Rejected):
-            client.send_answer(number, thrift.rejected_reply(number, step.retry_after_ms))
+            pieces = thrift.rejected_reply(number, step.retry_after_ms)
+            self._send_answer(client, number, pieces)
         elif isinstance(step, Failed):
-            client.send_answer(number, thrift.failed_reply(number))
-
-    def _enforce_unread_limit(self, client: ClientConnection) -> None:
-        """Disconnect this client if the unread answers of all clients use too much memory."""
-        unread = self.count_unread_bytes()
-        if unread > MAX_UNREAD_FRACTION * self.config.memory_mb * 1e6:
-            self.log.event(
-                "client does not read", bytes=client.write_queue.pending_bytes, all=unread
-            )
-            client.shut_down()
+            self._send_answer(client, number, thrift.failed_reply(number))
+
+    # Sending
+
+    def _send_answer(self, client: ClientConnection, number: int, pieces: thrift.Pieces) -> None:
+        """Send the only answer to an open request."""
+        client.send_answer(number, pieces)
+        self._limit_unread_answers(client)
+
+    def _send_reply(
+        self, client: ClientConnection, call: thrift.MethodCall, pieces: thrift.Pieces
+    ) -> None:
+        """Answer a call that has not become an open request."""
+        client.send_reply(call, pieces)
+        self._limit_unread_answers(client)
+
+    def _limit_unread_answers(self, client: ClientConnection) -> None:
+        if client.write_queue.pending_bytes:
+            self.limit_unread_answers()
--- a/mulleinrelay/net/resp.py
+++ b/mulleinrelay/net/resp.py
@@ -14,6 +14,7 @@
 
 MAX_BULK_BYTES = 262_144
 MAX_ITEMS = 8  # in an array
+MAX_ARRAY_BYTES = MAX_BULK_BYTES + 65_536  # one large item beside others of usual size
 MAX_HEAD_BYTES = 32  # of the line with the length of an array or a bulk string
 LINE_END = b"\r\n"
 NULL_STRING = b"-1"  # length of a bulk string that stands for no value
@@ -74,6 +75,10 @@
         """Return the memory to which the next received bytes must be written."""
         return self.buffer.writable_view(self.expected_length)
 
+    def needs_large_block(self) -> bool:
+        """Return whether the incomplete array is too large for a block of minimum size."""
+        return self.expected_length > self.buffer.size
+
     def decode(self, length: int) -> Iterator[list[Item]]:
         """Yield the arrays that are complete.
 
@@ -120,6 +125,8 @@
             raise RespError(f"a bulk string of {size} bytes")
         start = self.scanned_bytes
         end = start + size + len(LINE_END)
+        if end > MAX_ARRAY_BYTES:
+            raise RespError(f"an array of over {MAX_ARRAY_BYTES} bytes")
         if end > len(self.buffer):
             self.scanned_bytes = before
             self.expected_length = end
--- a/mulleinrelay/net/thrift.py
+++ b/mulleinrelay/net/thrift.py
@@ -43,6 +43,8 @@
 VERSION = 0x80010000  # of the strict binary protocol; the lowest byte holds the message type
 VERSION_MASK = 0xFFFFFF00
 MAX_NESTING = 16
+# Only so many characters of a method's name are kept. Answers and log lines repeat the name.
+MAX_METHOD_LENGTH = 64
 # Values in a message that are read one by one. A client's request has about 30.
 MAX_VALUES = 1024
 MAX_FIELDS = 64  # in a client's string map
@@ -276,7 +278,7 @@
     A function for the method reads the arguments later.
 
     Attributes:
-        method: Name of the method.
+        method: Name of the method, at most its first `MAX_METHOD_LENGTH` characters.
         kind: CALL or ONEWAY.
         sequence_number: Number of the call, chosen by the client and repeated in the answer.
         arguments: Reader that is positioned before the arguments.
@@ -305,7 +307,8 @@
     word = U32_FORMAT.unpack(reader.read_bytes(4))[0]
     if word & VERSION_MASK != VERSION:
         raise ThriftError("not a message of the strict binary protocol")
-    call = MethodCall(reader.read_text(), word & 0xFF, reader.read_i32(), reader)
+    method = reader.read_text()[:MAX_METHOD_LENGTH]
+    call = MethodCall(method, word & 0xFF, reader.read_i32(), reader)
     if call.kind not in (CALL, ONEWAY):
         raise ThriftError(f"a message of type {call.kind}")
     return call
--- a/mulleinrelay/net/upstream_connection.py
+++ b/mulleinrelay/net/upstream_connection.py
@@ -60,6 +60,8 @@
             suspect if a health check expires or an overdue attempt is cancelled, and no answer was
             received since that check or attempt was sent. No attempt or health check is sent on a
             suspect connection until an answer is received.
+        is_read_delayed: Whether the director does not read the connection now, because there is no
+            memory for a large answer. The connection then does not count as silent.
     """
 
     def __init__(self, address: EndpointAddress, now: float, lock: threading.Lock) -> None:
@@ -73,6 +75,7 @@
         self.ping_backoff = PingBackoff()
         self.idle_timeout = 0.0
         self.suspect_since = 0.0
+        self.is_read_delayed = False
 
     def can_send(self, wire_id: str, max_in_flight: int) -> bool:
         """Return whether another attempt or health check may be sent under this id."""
@@ -129,7 +132,7 @@
         The timeout is doubled if bytes are unread: they may contain the answer, which the director
         itself reads late.
         """
-        if not self.pinged_at:
+        if not self.pinged_at or self.is_read_delayed:
             return False
         return now > self.pinged_at + PING_TIMEOUT * (2.0 if self.has_unread_bytes() else 1.0)
 
@@ -142,7 +145,7 @@
         is_silent = now > self.silent_since() + self.ping_backoff.silence_before_ping(
             len(self.in_flight)
         )
-        return is_silent and not self.pinged_at
+        return is_silent and not self.pinged_at and not self.is_read_delayed
 
     def record_answer(
         self, answered: InFlight | None, answer: resp.EndpointAnswer, now: float
--- a/mulleinrelay/net/upstream_connections.py
+++ b/mulleinrelay/net/upstream_connections.py
@@ -27,6 +27,7 @@
 )
 from ..structured_log import StructuredLog
 from . import resp
+from .answer_memory import AnswerMemory
 from .upstream_connection import HEALTH_CHECK_PREFIX, HealthCheck, InFlight, UpstreamConnection
 from .upstream_pool import UpstreamPool
 from .write_queue import Piece
@@ -50,6 +51,8 @@
         has_client_left: Function that returns whether the client of a request has disconnected or
             cancelled the request. Its arguments are the request's context and whether the attempt
             is the first one. Set by the request handler, and called with the lock held.
+        receive_block_bytes: Minimum size of the receive buffer of a connection.
+        answer_memory: Memory for answers that do not fit into such a buffer.
         connection_by_attempt: Connection and id on the wire of each attempt in flight; guarded by
             the lock.
         failed_addresses: Addresses to which no connection was opened since a connection failed. The
@@ -63,7 +66,6 @@
         clock: Callable[[], float],
         log: StructuredLog,
         config: DirectorConfig,
-        max_connections: int,
     ) -> None:
         """Create an empty pool.
 
@@ -72,9 +74,11 @@
             clock: Returns Unix milliseconds.
             log: Log for operators.
             config: Timeouts and limits of connections.
-            max_connections: Maximum number of open connections.
         """
-        super().__init__(max_connections, config.max_attempts_per_connection)
+        limits = config.memory_limits
+        super().__init__(limits.max_upstream_connections, config.max_attempts_per_connection)
+        self.receive_block_bytes = limits.receive_block_bytes
+        self.answer_memory = AnswerMemory(limits.received_answer_bytes)
         self.coordinator = coordinator
         self.clock = clock
         self.log = log
@@ -365,11 +369,45 @@
             self.log.event("upstream up", node=address.name, lost=lost)
 
     def _read(self, connection: UpstreamConnection, connected_socket: socket.socket) -> None:
-        decoder = resp.ArrayDecoder()
-        while (length := connected_socket.recv_into(decoder.writable_view())) > 0:
-            for items in decoder.decode(length):
-                answer = resp.parse_answer(items, LOAD_REPORT_FIELDS)
-                self._handle_answer(connection, answer)
+        """Read answers until the connection is closed; a large one first gets its memory."""
+        decoder = resp.ArrayDecoder(self.receive_block_bytes)
+        charged_bytes = 0
+        try:
+            while True:
+                if decoder.needs_large_block() and not charged_bytes:
+                    size = decoder.expected_length
+                    if not self._acquire_answer_memory(connection, size):
+                        return
+                    charged_bytes = size
+                length = connected_socket.recv_into(decoder.writable_view())
+                if not length:
+                    return
+                self._handle_answers(connection, decoder, length)
+                if charged_bytes and not decoder.needs_large_block():
+                    self.answer_memory.release(charged_bytes)
+                    charged_bytes = 0
+        finally:
+            self.answer_memory.release(charged_bytes)
+
+    def _acquire_answer_memory(self, connection: UpstreamConnection, size: int) -> bool:
+        """Wait for the memory of a large answer; return False if the connection is closed.
+
+        The connection counts as not silent meanwhile, since this director does not read it.
+        """
+        with self.lock:
+            connection.is_read_delayed = True
+        is_acquired = self.answer_memory.acquire(size, lambda: connection.write_queue.is_shut_down)
+        with self.lock:
+            connection.is_read_delayed = False
+        return is_acquired
+
+    def _handle_answers(
+        self, connection: UpstreamConnection, decoder: resp.ArrayDecoder, length: int
+    ) -> None:
+        """Handle the complete answers after `length` bytes were received."""
+        for items in decoder.decode(length):
+            self._handle_answer(connection, resp.parse_answer(items, LOAD_REPORT_FIELDS))
+        decoder.buffer.release_large_block()
 
     def _handle_answer(self, connection: UpstreamConnection, answer: resp.EndpointAnswer) -> None:
         with self.lock:
--- a/mulleinrelay/policy/buffer_sharing.py
+++ b/mulleinrelay/policy/buffer_sharing.py
@@ -11,23 +11,6 @@
 No I/O and no clock. Sizes are in bytes.
 """
 
-# Resident memory of a director before it serves requests, with a reserve for its threads.
-BASE_MEMORY_MB = 20.0
-# Fraction of the remaining memory for received requests. The rest is for answers, upstream
-# connections, threads, and the fragmentation of the heap.
-REQUEST_MEMORY_FRACTION = 0.2
-MIN_REQUEST_MEMORY_MB = 1.0
-
-
-def request_memory(memory_mb: float) -> int:
-    """Return the memory for received requests in bytes.
-
-    Args:
-        memory_mb: Memory limit of the director in MB.
-    """
-    available = REQUEST_MEMORY_FRACTION * (memory_mb - BASE_MEMORY_MB)
-    return int(max(MIN_REQUEST_MEMORY_MB, available) * 1e6)
-
 
 def may_hold_more(held: int, additional: int, used: int, capacity: int) -> bool:
     """Return whether a connection may hold additional bytes.
--- a/mulleinrelay/policy/object_locations.py
+++ b/mulleinrelay/policy/object_locations.py
@@ -8,6 +8,8 @@
 
 # Time in ms for which a cache that answered with a part of an object is believed to hold that part.
 LOCATION_LIFETIME = 8000.0
+# Maximum number of parts; beyond it, the part whose last answer is the oldest is forgotten.
+MAX_PARTS = 4096
 
 
 class ObjectLocations:
@@ -17,11 +19,19 @@
     """
 
     def __init__(self) -> None:
+        # In the order of the last answer with the part, the oldest first.
         self._seen_at: dict[tuple[int, int], dict[TrackedEndpoint, float]] = {}
 
     def record(self, cache: TrackedEndpoint, request: Request, now: float) -> None:
         """Record that the cache has answered with the requested part of the object."""
-        self._seen_at.setdefault((request.object_id, request.part), {})[cache] = now
+        key = (request.object_id, request.part)
+        holders = self._seen_at.pop(key, None)
+        if holders is None:
+            holders = {}
+            if len(self._seen_at) >= MAX_PARTS:
+                del self._seen_at[next(iter(self._seen_at))]
+        holders[cache] = now
+        self._seen_at[key] = holders
 
     def remove(self, cache: TrackedEndpoint | None, request: Request) -> None:
         """Record that the cache is no longer believed to hold the part; ignore None."""
--- a/mulleinrelay/policy/popularity.py
+++ b/mulleinrelay/policy/popularity.py
@@ -29,7 +29,7 @@
 WINDOW = 10_000.0
 # Maximum multiple of its length to which a window with few requests is extended.
 MAX_WINDOWS = 3
-MAX_OBJECTS = 8192  # that are counted in a window
+MAX_OBJECTS = 4096  # that are counted in a window
 
 
 class Popularity:
--- a/mulleinrelay/router_actions.py
+++ b/mulleinrelay/router_actions.py
@@ -10,6 +10,11 @@
 from .structured_log import StructuredLog
 from .timers import TimerKind, TimerQueue
 
+# The timers of ended requests are removed if there are more timers than this in all. A pending
+# request has about five.
+TIMERS_PER_REQUEST = 8
+MIN_TIMERS = 512
+
 
 class PendingActions:
     """The router's `ActionSink`: stores the actions until the network code carries them out.
@@ -52,6 +57,8 @@
         The lateness of a timer counts as a lack of CPU time, so it must not include the time by
         which a request was overdue before its timers were set.
         """
+        if len(self.timers) > MIN_TIMERS + TIMERS_PER_REQUEST * len(self.requests):
+            self.timers.remove_ended(self.requests)
         due = self._clock() + max(0.0, delay)
         self.timers.add(due, kind, subject)
         self._wake(due)
--- a/tests/net/test_upstream_connections.py
+++ b/tests/net/test_upstream_connections.py
@@ -219,6 +219,60 @@
         assert len(running.commands()) == (2 if is_safe else 1)
 
 
+@pytest.mark.usefixtures("long_timeouts")
+def test_large_answers_are_received_within_their_memory(monkeypatch):
+    # Guards against a director over its memory limit: each of its upstream connections received an
+    # answer of the largest size at the same time, and kept the buffer afterwards.
+    decoders = []
+    writable_view = resp.ArrayDecoder.writable_view
+
+    def record_decoder(decoder):
+        decoders.append(decoder)
+        return writable_view(decoder)
+
+    monkeypatch.setattr(resp.ArrayDecoder, "writable_view", record_decoder)
+    body = bytes(240_000)
+    with RunningDirector((b"DONE", b"why=HIT", body)) as running:
+        memory = running.director.upstream.answer_memory
+        memory.capacity = 500_000  # for two answers
+        peaks, acquire = [], memory.acquire
+
+        def record_use(size, is_closed):
+            is_acquired = acquire(size, is_closed)
+            peaks.append(memory.used)
+            return is_acquired
+
+        monkeypatch.setattr(memory, "acquire", record_use)
+        clients = [running.connect_client() for _ in range(12)]
+        for client in clients:
+            client.send()
+        assert [client.read_answer() for client in clients] == [(1, 0, {}, body)] * 12
+        assert peaks and max(peaks) <= memory.capacity
+        assert wait_for(lambda: not memory.used)
+        size = running.director.upstream.receive_block_bytes
+        buffers = {decoder.buffer for decoder in decoders if decoder.buffer.size == size}
+        assert buffers and wait_for(lambda: all(len(each.view) == size for each in buffers))
+
+
+@pytest.mark.usefixtures("long_timeouts")
+def test_connection_that_waits_for_memory_is_not_taken_for_silent():
+    # Guards against the loss of attempts on connections that the director itself does not read.
+    with RunningDirector((b"DONE", b"why=HIT", bytes(240_000))) as running:
+        upstream = running.director.upstream
+        assert upstream.answer_memory.acquire(upstream.answer_memory.capacity, lambda: False)
+        client = running.connect_client()
+        client.send("pay")
+        assert wait_for(lambda: any(each.is_read_delayed for each in upstream.usable_connections()))
+        now = upstream.clock() + 10_000.0
+        (delayed,) = (each for each in upstream.usable_connections() if each.is_read_delayed)
+        delayed.pinged_at = 1.0
+        assert not delayed.is_ping_overdue(now) and not delayed.needs_ping(now)
+        delayed.pinged_at = 0.0
+        assert not delayed.needs_ping(now)
+        upstream.answer_memory.release(upstream.answer_memory.capacity)
+        assert client.read_answer()[:2] == (1, 0)
+
+
 @pytest.mark.usefixtures("long_timeouts")
 def test_refused_connection_proves_that_nothing_was_executed(reserve_port):
     running = RunningDirector()
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -206,6 +206,20 @@
     assert fixture.coordinator.cpu_utilization() == 0.0
 
 
+def test_timers_of_ended_requests_are_removed_before_they_are_due():
+    # Guards against memory that grows with the rate of requests: each ended request stayed in
+    # memory until its deadline.
+    fixture = CoordinatorFixture()
+    waiting = fixture.accept(remaining_time=5000.0)
+    for _ in range(2000):
+        ended = fixture.accept(has_capacity=False)
+        assert isinstance(fixture.run_to_result(ended), Rejected)
+    assert len(fixture.coordinator._actions.timers) < 1000
+    fixture.run_to_result(waiting)
+    fixture.advance_time(5000.0)
+    assert isinstance(fixture.run_to_result(waiting), Rejected)
+
+
 def test_wait_until_ends_early_for_an_earlier_timer():
     fixture = CoordinatorFixture()
     fixture.use_real_clock()
