--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -62,7 +62,11 @@
         self.log = log
         self.admission_control: AdmissionControl | None = None
         self.random = Random(config.seed)
-        self.recent_request_ids = RecentRequestIds(config.memory_mb)
+        self.recent_request_ids = RecentRequestIds(
+            config.memory_mb,
+            max((each.client_timeout for each in config.request_classes.values()), default=0.0)
+            / 1000.0,
+        )
         self.max_requests = int(REQUESTS_PER_MB * config.memory_mb)
         self.admission_thresholds = AdmissionThresholds(config.request_classes.values())
         self.is_healthy = False
@@ -120,8 +124,9 @@
         self._check_sequence_number(client, number)
         queued_ms = 1000.0 * (time.monotonic() - call.received_at)
         remaining_time = min(request.remaining_time, request_class.client_timeout) - queued_ms
-        if remaining_time <= FINAL_RESPONSE_MARGIN:
-            self._reject_unopened(client, call, "no time left when it was read")
+        reason = self._rejection_reason(remaining_time)
+        if reason:
+            self._reject_unopened(client, call, reason)
             return
         if not self._open(client, call, request):
             return
@@ -131,6 +136,7 @@
             decision = admission_control.admit_request(request, request_class, client.address)
             pool = getattr(decision, "pool", None)
             if pool is None:
+                self.recent_request_ids.forget(request.request_id)
                 self._reject(client, number, decision.retry_after_ms, decision.is_never_executed)
                 return
             context.grant = decision
@@ -147,6 +153,18 @@
             raise thrift.ThriftError("no idempotency key")
         return request_class
 
+    def _rejection_reason(self, remaining_time: float) -> str:
+        """Return why a request is rejected before it is opened; empty if it is not.
+
+        Args:
+            remaining_time: Time in ms for which the client still waits.
+        """
+        if remaining_time <= FINAL_RESPONSE_MARGIN:
+            return "no time left when it was read"
+        if self.recent_request_ids.is_full():
+            return "no memory for its id"
+        return ""
+
     def _open(
         self, client: ClientConnection, call: thrift.MethodCall, request: ClientRequest
     ) -> bool:
@@ -260,7 +278,7 @@
             return
         try:
             while (step := self.coordinator.next_step(request)) is not None:
-                self._perform(step, context)
+                self._perform(step, request, context)
                 if isinstance(step, RequestResult):
                     # Timers may refer to the request for a while. The body, which the context
                     # holds, must not stay in memory until then.
@@ -282,7 +300,10 @@
             self.admission_control.complete_request(context.grant, request, is_served, is_owed)
 
     def _perform(
-        self, step: SendAttempt | CancelAttempt | RequestResult, context: RequestContext
+        self,
+        step: SendAttempt | CancelAttempt | RequestResult,
+        request: Request,
+        context: RequestContext,
     ) -> None:
         client = context.client
         number = context.sequence_number
@@ -296,6 +317,8 @@
             body = b"" if answer.is_not_modified else answer.body
             self._send_answer(client, number, thrift.reply("serve", number, body, fields, True))
         elif isinstance(step, Rejected):
+            if not request.attempts:
+                self.recent_request_ids.forget(context.request.request_id)
             pieces = thrift.rejected_reply(number, step.retry_after_ms)
             self._send_answer(client, number, pieces)
         elif isinstance(step, Failed):
