--- a/mulleinrelay/endpoint_registry.py
+++ b/mulleinrelay/endpoint_registry.py
@@ -31,14 +31,18 @@
 class EndpointRegistry:
     """Endpoints by name, with the address of each.
 
+    Each process has an endpoint object and an address object of its own, even if it has the name or
+    the address of an earlier one. Results of attempts at the earlier process, its connections and
+    what is known of its copies therefore never count for the new one.
+
     Owns the attributes below. `accept` and `reapply` change them, and `drop_removed` removes
     endpoints. The coordinator sets `overrides`.
 
     Attributes:
         endpoints: The router's endpoint objects, by name, including removed endpoints that the
             router still knows.
-        addresses: The address of each endpoint; an endpoint that restarts or moves gets a new
-            address object.
+        addresses: The address of each endpoint, including that of each earlier process under the
+            same name that the router still knows.
         updates: The latest entry of each endpoint, by name, except for removed endpoints.
         overrides: Operators' overrides of the endpoint list; None without management.
     """
@@ -47,6 +51,7 @@
         self.endpoints: dict[str, TrackedEndpoint] = {}
         self.addresses: dict[TrackedEndpoint, EndpointAddress] = {}
         self.updates: dict[str, EndpointUpdate] = {}
+        self._removed: dict[TrackedEndpoint, None] = {}  # those that `drop_removed` looks at
         self.overrides: EndpointOverrides | None = None
 
     def accept(
@@ -100,10 +105,13 @@
         Args:
             still_known: The endpoints that the router knows; the values are unused.
         """
-        for name, endpoint in list(self.endpoints.items()):
-            if self.addresses[endpoint].is_removed and endpoint not in still_known:
+        for endpoint in list(self._removed):
+            if endpoint in still_known:
+                continue
+            del self._removed[endpoint]
+            name = self.addresses.pop(endpoint).name
+            if self.endpoints.get(name) is endpoint:
                 del self.endpoints[name]
-                del self.addresses[endpoint]
 
     def fractions_by_name(
         self, endpoints: list[TrackedEndpoint], slow_start: SlowStartAdmission, now: float
@@ -163,37 +171,69 @@
     def _router_update(
         self, entries: list[EndpointUpdate], is_full_snapshot: bool
     ) -> EndpointsUpdated:
-        router_entries = [self._router_entry(entry) for entry in entries]
+        router_entries = [each for entry in entries for each in self._router_entries(entry)]
         if is_full_snapshot:
             listed = {entry.name for entry in entries}
             for name, endpoint in self.endpoints.items():
-                self.addresses[endpoint].is_removed |= name not in listed
+                if name not in listed:
+                    self._mark_removed(endpoint)
         return EndpointsUpdated(router_entries, is_full_snapshot)
 
-    def _router_entry(self, entry: EndpointUpdate) -> EndpointEntry:
+    def _router_entries(self, entry: EndpointUpdate) -> list[EndpointEntry]:
+        """Return the router's entries for an entry of the endpoint list.
+
+        There are two if the entry is of a new process: the earlier one is gone. There is none if an
+        unknown endpoint is gone.
+        """
         endpoint = self.endpoints.get(entry.name)
+        is_gone = entry.state == EndpointState.GONE
+        router_entries = []
+        if endpoint is not None and not is_gone and self._is_new_process(endpoint, entry):
+            self._mark_removed(endpoint)
+            departure = _router_entry(endpoint, EndpointState.GONE, entry)
+            router_entries.append(departure._replace(started_at=endpoint.started_at))
+            endpoint = None
         if endpoint is None:
+            if is_gone:
+                return []
             endpoint = self.endpoints[entry.name] = TrackedEndpoint(hash_key(entry.name))
-        address = self.addresses.get(endpoint)
-        if (
-            address is None
+            self.addresses[endpoint] = EndpointAddress(entry.name, entry.address)
+        if is_gone:
+            self._mark_removed(endpoint)
+        router_entries.append(_router_entry(endpoint, self.effective_state(entry), entry))
+        return router_entries
+
+    def _is_new_process(self, endpoint: TrackedEndpoint, entry: EndpointUpdate) -> bool:
+        """Return whether an entry is of another process than the endpoint under its name.
+
+        A process that was removed from the endpoint list does not come back: the one that is listed
+        afterwards may be another one, even at the same address.
+        """
+        address = self.addresses[endpoint]
+        return (
+            address.is_removed
             or address.address != entry.address
             or endpoint.started_at != entry.started_at
-        ):
-            if address is not None:
-                address.is_removed = True
-            address = self.addresses[endpoint] = EndpointAddress(entry.name, entry.address)
-        address.is_removed = entry.state == EndpointState.GONE
-        return EndpointEntry(
-            endpoint,
-            self.effective_state(entry),
-            entry.weight,
-            entry.kind,
-            entry.zone,
-            entry.advertised_cell,
-            entry.started_at,
         )
 
+    def _mark_removed(self, endpoint: TrackedEndpoint) -> None:
+        self.addresses[endpoint].is_removed = True
+        self._removed[endpoint] = None
+
+
+def _router_entry(
+    endpoint: TrackedEndpoint, state: EndpointState, entry: EndpointUpdate
+) -> EndpointEntry:
+    return EndpointEntry(
+        endpoint,
+        state,
+        entry.weight,
+        entry.kind,
+        entry.zone,
+        entry.advertised_cell,
+        entry.started_at,
+    )
+
 
 def hash_key(name: str) -> int:
     """Return the number of an endpoint in the rendezvous hash, the same at every director.
--- a/mulleinrelay/policy/cache_selection.py
+++ b/mulleinrelay/policy/cache_selection.py
@@ -14,7 +14,7 @@
 from .endpoint_filter import EndpointFilter
 from .endpoint_table import EndpointTable
 from .latency import TrackedEndpoint
-from .model import Outcome, Request, ServiceSettings
+from .model import EndpointState, Outcome, Request, ServiceSettings
 from .popularity import Popularity
 from .rendezvous_hash import rendezvous_order
 from .work_estimates import WorkEstimator
@@ -107,8 +107,14 @@
         tried = {
             attempt.endpoint for attempt in request.attempts if attempt.outcome != Outcome.MISS
         }
+        # A new process under the name of one that was tried is not tried for the same request.
+        replaced_keys = {each.hash_key for each in tried if each.state == EndpointState.GONE}
         ranked = rendezvous_order(
-            [cache for cache in caches if cache not in tried],
+            [
+                cache
+                for cache in caches
+                if cache not in tried and cache.hash_key not in replaced_keys
+            ],
             request.object_id,
             request.part,
             self.slow_start,
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,5 +1,6 @@
 import json
 import threading
+from dataclasses import replace
 
 import pytest
 from helpers import CoordinatorFixture, start_settings
@@ -273,9 +274,37 @@
     for name, value in changes.items():
         setattr(entry, name, value)
     fixture.coordinator.update_endpoints([entry], False)
+    endpoint_now = fixture.coordinator.endpoints[entry.name]
     assert (
-        fixture.coordinator.addresses[endpoint] is old_address
+        fixture.coordinator.addresses[endpoint_now] is old_address
     ) == is_kept and old_address.is_removed != is_kept
+    assert (endpoint_now is endpoint) == is_kept
+
+
+@pytest.mark.parametrize("changes", [{}, {"started_at": 5.0}])
+def test_a_new_process_is_not_taken_for_the_removed_one_with_its_name_and_address(changes):
+    # Guards against connections, copies and failures of a process that is gone being taken for
+    # those of the new one, which the list shows while an attempt at the old one is in flight.
+    fixture = CoordinatorFixture()
+    coordinator = fixture.coordinator
+    request = fixture.accept()
+    attempt = coordinator.next_step(request).attempt
+    old = attempt.endpoint
+    ((_, old_address), *_) = attempt.addresses
+    entry = coordinator.endpoint_updates[old_address.name]
+    coordinator.router.locations.record(old, request, fixture.now)
+    coordinator.update_endpoints([replace(entry, state=EndpointState.GONE)], False)
+    coordinator.update_endpoints([replace(entry, **changes)], False)
+    new = coordinator.endpoints[entry.name]
+    assert new is not old and new.is_ready and not old.is_ready
+    assert old_address.is_removed and not coordinator.addresses[new].is_removed
+    assert not coordinator.router.fill_sources.is_believed_holder(new, request, fixture.now)
+    assert not new.attempts_in_flight and not coordinator.can_begin(attempt)
+    coordinator.report_outcome(attempt, Outcome.RESET)
+    assert not new.is_unreachable and not new.last_reset_at
+    coordinator.update_endpoints([replace(entry, **changes)], False)  # the old one is forgotten
+    assert old not in coordinator.addresses and old not in coordinator.router.endpoints.known
+    assert coordinator.endpoints[entry.name] is new
 
 
 def test_an_endpoint_missing_from_a_full_snapshot_is_removed():
