--- a/mulleinrelay/cells/placement.py
+++ b/mulleinrelay/cells/placement.py
@@ -39,6 +39,20 @@
     other_cell: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class _UnsettledMove:
+    """A change of a tenant's cell, without a migration, that other directors may not know yet.
+
+    Attributes:
+        previous_cell: The tenant's cell at directors that do not know the change; None if that is
+            not a single cell, or is not known.
+        settled_at: Time from which every director knows the change.
+    """
+
+    previous_cell: str | None
+    settled_at: float
+
+
 def _only_cell(now: float, home: str, migration: Migration | None) -> str | None:
     """Return the cell of all objects of a tenant.
 
@@ -53,6 +67,11 @@
     return migration.target if stage == migrations.MigrationStage.DONE else None
 
 
+def _settled_at(assignment: Assignment) -> float:
+    """Return the time from which every director knows this version of the assignment."""
+    return assignment.written_at + assignment.propagation_time + assignment.clock_skew
+
+
 def checked_home_cells(assignment: Assignment) -> dict[str, str]:
     """Return the home cell of each tenant; this takes seconds for a large assignment.
 
@@ -86,6 +105,8 @@
         availability: Availability of each cell, by cell.
         unsettled_until: For tenants that changed cells without a migration, the time until which
             the cell of their first attempts is uncertain.
+        unsettled_moves: For tenants that changed cells without a migration, the change, until every
+            director knows it.
         uncertain_until: Time until which a retry may follow a first attempt that was placed by a
             version older than this placement's first version. Another director, or this director
             before a restart, may have placed it.
@@ -116,6 +137,7 @@
         self.caches: list[ReadyCache] = []
         self.availability: dict[str, CellAvailability] = {}
         self.unsettled_until: dict[str, float] = {}
+        self.unsettled_moves: dict[str, _UnsettledMove] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.shuffle_shards: dict[str, int] = {}
         self._placements: dict[tuple[str, str, str], CellPlacement] = {}  # by tenant and route
@@ -123,12 +145,8 @@
         self._use_assignment(assignment, homes or checked_home_cells(assignment))
         self.caches_by_cell: dict[str, list[str]] = {name: [] for name in assignment.cells}
         self._endpoints: dict[str, Endpoint] = {}
-        self.uncertain_until = (
-            assignment.written_at
-            + assignment.propagation_time
-            + assignment.clock_skew
-            + assignment.retry_horizon
-        )
+        self._first_retry_horizon = assignment.retry_horizon
+        self.uncertain_until = _settled_at(assignment) + assignment.retry_horizon
 
     # Updates of the assignment and of the endpoint list
 
@@ -138,7 +156,9 @@
         """Put a new version in force.
 
         Tenants that change cells without a migration do so at once. For a while, the cell of their
-        earlier attempts is then uncertain.
+        earlier attempts is then uncertain. Requests that must be repeated in the same cell go to
+        the earlier cell until every director knows the new version, since a director that does not
+        know it would repeat them there.
 
         Args:
             now: The current time.
@@ -163,11 +183,35 @@
             name: until for name, until in self.unsettled_until.items() if now < until
         }
         self.unsettled_until |= dict.fromkeys(moved_at_once, uncertain_until)
+        self._record_unsettled_moves(now, moved_at_once, old_homes, old_migrations)
         messages = self._update_availability(now)
         if moved_at_once:
             messages.insert(0, f"{len(moved_at_once)} tenants change cells without a move")
         return messages
 
+    def _record_unsettled_moves(
+        self,
+        now: float,
+        tenants: list[str],
+        old_homes: dict[str, str],
+        old_migrations: dict[str, Migration],
+    ) -> None:
+        """Record the changes of cells that other directors may not know yet.
+
+        After two such changes within that time, other directors may use either earlier cell, so
+        that neither is certain.
+        """
+        pending = {
+            tenant: move for tenant, move in self.unsettled_moves.items() if now < move.settled_at
+        }
+        settled_at = _settled_at(self.assignment)
+        for tenant in tenants:
+            previous_cell = None
+            if tenant not in pending:
+                previous_cell = _only_cell(now, old_homes[tenant], old_migrations.get(tenant))
+            pending[tenant] = _UnsettledMove(previous_cell, settled_at)
+        self.unsettled_moves = pending
+
     def _moves_at_once(
         self,
         now: float,
@@ -247,6 +291,11 @@
         history = self._history(now, request)
         if self._is_uncertain(now, tenant, history):
             return PlacementFailure.MAY_HAVE_RUN
+        cell = self._cell_of_sticky_request(now, tenant, history)
+        if isinstance(cell, PlacementFailure):
+            return cell
+        if cell:
+            return self._place_on_route(now, request, _Route(cell), history)
         route = _Route(home)
         if history.known_cell in self.availability:
             route = _Route(history.known_cell)
@@ -305,6 +354,43 @@
             return False
         return now < self.uncertain_until or now < self.unsettled_until.get(tenant, 0.0)
 
+    def _cell_of_sticky_request(
+        self, now: float, tenant: str, history: RequestHistory
+    ) -> str | PlacementFailure:
+        """Return the cell in which a request must be placed so that a retry can be recognized.
+
+        The result is empty if the tenant's home cell and migration determine the cell, and a
+        failure if no cell is certain, for instance because the known cell was removed.
+        """
+        if history.can_run_anywhere:
+            return ""
+        known_cell = history.known_cell
+        if known_cell is not None:
+            if known_cell not in self.availability:
+                return PlacementFailure.MAY_HAVE_RUN
+            migration = self.migrations_by_tenant.get(tenant)
+            is_migrating = migration is not None and known_cell in (
+                migration.source,
+                migration.target,
+            )
+            return "" if is_migrating else known_cell
+        return "" if history.is_retry else self._cell_of_first_try(now, tenant)
+
+    def _cell_of_first_try(self, now: float, tenant: str) -> str | PlacementFailure:
+        """Return the cell that directors use which do not know the latest version yet.
+
+        The result is empty if every director knows the tenant's cell.
+        """
+        # Other directors may not know this placement's first version yet.
+        if now < self.uncertain_until - self._first_retry_horizon:
+            return PlacementFailure.UNSETTLED
+        move = self.unsettled_moves.get(tenant)
+        if move is None or now >= move.settled_at:
+            return ""
+        if move.previous_cell not in self.availability:
+            return PlacementFailure.UNSETTLED
+        return move.previous_cell
+
     def _cache_if_stable(
         self, request: PlacementRequest, home: str, placement: CellPlacement
     ) -> None:
--- a/mulleinrelay/cells/placement_types.py
+++ b/mulleinrelay/cells/placement_types.py
@@ -16,6 +16,7 @@
     CELL_LOST = "its cell is lost and no neighbour takes it in"
     MAY_HAVE_RUN = "its first try may have run in another cell"
     NO_CELL = "its tenant has no cell"
+    UNSETTLED = "other directors may not know its tenant's cell yet"
 
 
 @dataclass(slots=True, eq=False)
