Divide the pending requests fairly between clients

What callers saw: when pending requests ran short, all clients were rejected alike, so a client with one request lost to clients with 32. A client's own requests count twice in the utilization now (dynamic thresholds, Choudhury and Hahne), so each may hold as many as are still free, and as many stay free for a client that holds none.

--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -20,7 +20,7 @@
     Served,
 )
 from ..policy import overload
-from ..policy.admission import AdmissionThresholds, ResourceUtilization
+from ..policy.admission import AdmissionThresholds, ResourceUtilization, pending_utilization
 from ..policy.deadlines import FINAL_RESPONSE_MARGIN
 from ..policy.model import KEYED, CachePool, ClientRequest, Request, RequestClass, SendAttempt
 from ..structured_log import StructuredLog
@@ -226,7 +226,7 @@
     ) -> Request:
         """Pass a request to the coordinator, which rejects it at once if there is no capacity."""
         request = context.request
-        has_capacity = self._has_capacity(request, request_class)
+        has_capacity = self._has_capacity(context, request_class)
         return self.coordinator.accept(
             request_class,
             int(request.object, 16),
@@ -240,10 +240,12 @@
             pool=pool,
         )
 
-    def _has_capacity(self, request: ClientRequest, request_class: RequestClass) -> bool:
+    def _has_capacity(self, context: RequestContext, request_class: RequestClass) -> bool:
         """Return whether a request may be accepted; log which resource is short if not."""
+        request = context.request
+        open_count = len(context.client.open_requests) - 1  # without this request
         resource, utilization = ResourceUtilization(
-            self.coordinator.pending_count() / self.max_requests,
+            pending_utilization(self.coordinator.pending_count(), open_count, self.max_requests),
             self.coordinator.cpu_utilization(),
             self.upstream.fullness(),
         ).scarcest()
--- a/mulleinrelay/policy/admission.py
+++ b/mulleinrelay/policy/admission.py
@@ -97,6 +97,23 @@
     return has_called, has_called and is_within_call, has_sent_request, last_used_at
 
 
+def pending_utilization(pending: int, of_client: int, maximum: int) -> float:
+    """Return the utilization of the pending requests, as it counts for one client.
+
+    The client's own requests count twice, so that a client may hold at most as many as are still
+    free. With n clients that ask for more than they get, each holds 1/(n + 1) of the maximum (or of
+    the part below a class's threshold), and as many are left for a client that holds none. This is
+    max-min fair up to the part that is left. Source: Choudhury and Hahne, "Dynamic queue length
+    thresholds for shared-memory packet switches", IEEE/ACM Transactions on Networking 6(2), 1998.
+
+    Args:
+        pending: Number of pending requests of all clients.
+        of_client: Number of these that are the client's.
+        maximum: Maximum number of pending requests.
+    """
+    return (pending + of_client) / maximum
+
+
 class ResourceUtilization(NamedTuple):
     """Utilization of each of a director's scarce resources, from 0 (idle) to 1 (exhausted)."""
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -5,6 +5,7 @@
     AdmissionThresholds,
     SchedulingDelay,
     eviction_order,
+    pending_utilization,
 )
 from mulleinrelay.policy.model import IDEMPOTENT, KEYED, UNSAFE, RequestClass
 
@@ -32,6 +33,28 @@
 ALL = [MEDIA, PAGES, ORDER, PAY]
 
 
+@pytest.mark.parametrize("client_count", [1, 3, 20])
+@pytest.mark.parametrize("flooding_class", [PAGES, ORDER])
+def test_clients_that_ask_for_all_leave_the_same_share_to_another_one(client_count, flooding_class):
+    # Guards against a client that is rejected because others hold all pending requests.
+    thresholds = AdmissionThresholds(ALL)
+    maximum = 1000
+    held = [0] * client_count
+
+    def may_open(of_client, each_class):
+        utilization = pending_utilization(sum(held), of_client, maximum)
+        return thresholds.can_admit(each_class, False, utilization)
+
+    for _ in range(maximum):
+        for index in range(client_count):
+            held[index] += may_open(held[index], flooding_class)
+    assert sum(held) < maximum and max(held) - min(held) <= 1
+    share = min(held)
+    assert share >= 0.7 * maximum / (client_count + 1)
+    assert may_open(share - 2, flooding_class) and may_open(share - 2, PAY)
+    assert may_open(0, PAGES) or flooding_class is ORDER
+
+
 @pytest.mark.parametrize(
     ("admitted", "is_retry", "last_pending"),
     [
