--- a/mulleinrelay/net/recent_request_ids.py
+++ b/mulleinrelay/net/recent_request_ids.py
@@ -36,6 +36,8 @@
 
     def is_full(self) -> bool:
         """Return whether no further id can be remembered now."""
+        if len(self.current) < self.max_ids:  # the usual case, without the lock
+            return False
         with self.lock:
             self._rotate()
             return len(self.current) >= self.max_ids
--- a/mulleinrelay/net/request_handler.py
+++ b/mulleinrelay/net/request_handler.py
@@ -244,14 +244,19 @@
         """Return whether a request may be accepted; log which resource is short if not."""
         request = context.request
         open_count = len(context.client.open_requests) - 1  # without this request
-        resource, utilization = ResourceUtilization(
+        resources = ResourceUtilization(
             pending_utilization(self.coordinator.pending_count(), open_count, self.max_requests),
             self.coordinator.cpu_utilization(),
             self.upstream.fullness(),
-        ).scarcest()
+        )
+        utilization = max(resources)
         if self.admission_thresholds.can_admit(request_class, request.is_retry, utilization):
             return True
-        self.log.event("no capacity", resource=resource, utilization=round(utilization, 2))
+        self.log.event(
+            "no capacity",
+            resource=resources.name_of_scarcest(),
+            utilization=round(utilization, 2),
+        )
         return False
 
     def _reject(
--- a/mulleinrelay/policy/admission.py
+++ b/mulleinrelay/policy/admission.py
@@ -121,9 +121,9 @@
     cpu: float
     upstream_connections: float
 
-    def scarcest(self) -> tuple[str, float]:
-        """Return the name and the utilization of the scarcest resource."""
-        return max(self._asdict().items(), key=lambda entry: entry[1])
+    def name_of_scarcest(self) -> str:
+        """Return the name of the resource with the highest utilization."""
+        return self._fields[self.index(max(self))]
 
 
 class AdmissionThresholds:
