--- a/mulleinrelay/membership/failure_detector.py
+++ b/mulleinrelay/membership/failure_detector.py
@@ -15,7 +15,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from .datagrams import DatagramFactory, OutgoingDatagram
@@ -62,6 +62,7 @@
         precedence: Precedence of the member's update when the ping was sent. The member becomes
             suspect only if its update has not changed since. Unused for an indirect ping.
         has_indirect_pings: Whether other members were asked to ping the member too.
+        helpers: These other members, which forward an ack.
         nacks: Number of members that were asked for an indirect ping and sent a nack, as they have
             received no ack either.
     """
@@ -73,6 +74,14 @@
     precedence: tuple[int, int, int] = (0, 0, 0)
     has_indirect_pings: bool = False
     nacks: int = 0
+    helpers: set[MemberId] = field(default_factory=set)
+
+    def may_be_acked_by(self, sender: MemberId) -> bool:
+        """Return whether an ack of this sender says that the pinged member is alive.
+
+        Another director may have started at the address of a member that is gone.
+        """
+        return sender == self.member_id or sender in self.helpers
 
 
 class FailureDetector:
@@ -109,14 +118,18 @@
     # Received messages
 
     def handle_ack(self, message: Message) -> list[OutgoingDatagram]:
-        """Complete the pending ping with the ack's number; ignore the ack if there is no such ping.
+        """Complete the pending ping with the ack's number.
+
+        The ack is ignored if there is no such ping, or if its sender is neither the pinged member
+        nor a member that was asked to ping it.
 
         The ack of an indirect ping is forwarded to the director that requested the ping. The ack of
         this director's own ping lowers, that is improves, this director's health score.
         """
-        ping = self._pending.pop(message.number, None)
-        if ping is None:
+        ping = self._pending.get(message.number)
+        if ping is None or not ping.may_be_acked_by(message.sender.member_id):
             return []
+        del self._pending[message.number]
         if ping.requester is not None:
             return [self._reply(ping.requester, MessageKind.ACK)]
         self.health_score = max(0, self.health_score - 1)
@@ -249,6 +262,7 @@
         ]
         outgoing = [self._ping(update, ping.sequence_number)]
         for other in self._random.sample(others, min(INDIRECT_PINGS, len(others))):
+            ping.helpers.add(other.member_id)
             outgoing.append(
                 self._datagrams.with_broadcasts(
                     other.address,
--- a/tests/membership/simulated_fleet.py
+++ b/tests/membership/simulated_fleet.py
@@ -51,12 +51,18 @@
         for number in range(count):
             self.start(number)
 
-    def start(self, number, incarnation=None):
-        """Start a director, or restart it after a kill."""
+    def start(self, number, incarnation=None, name=""):
+        """Start a director, or restart it after a kill; its name is its number by default."""
         self.starts += 1
         incarnation = incarnation or int(1000 + self.now)
         local = MemberUpdate(
-            f"n{number}", HOST, FIRST_PORT + number, "north", incarnation, 0, MemberState.ALIVE
+            name or f"n{number}",
+            HOST,
+            FIRST_PORT + number,
+            "north",
+            incarnation,
+            0,
+            MemberState.ALIVE,
         )
         self.killed.discard(number)
         random = Random(f"{number}-{self.starts}")
--- a/tests/membership/test_swim.py
+++ b/tests/membership/test_swim.py
@@ -77,6 +77,23 @@
     assert {name for _, _, name in fleet.events_of("started again")} == {"n7"}
 
 
+def test_member_is_declared_dead_although_another_director_has_its_address():
+    # Guards against a new process that is taken for the one that is gone: it answered the pings
+    # that were meant for the earlier director at its address.
+    fleet = SimulatedFleet(12)
+    fleet.run(10)
+    fleet.kill(7)
+    fleet.run(1)
+    fleet.start(7, name="n107")
+    fleet.run(15)
+    observers = {number for _, number, name in fleet.events_of("died") if name == "n7"}
+    assert observers >= set(range(12)) - {7}
+    assert not [name for *_, name in fleet.events_of("died") if name != "n7"]
+    for number in set(range(12)) - {7}:
+        expected = (set(range(12)) | {107}) - {7, number}
+        assert fleet.members_seen_by(number) == expected
+
+
 def test_member_restarted_with_its_clock_set_back_exceeds_its_old_incarnation():
     fleet = SimulatedFleet(8)
     fleet.run(10)
