--- a/tests/test_under_limits.py
+++ b/tests/test_under_limits.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -17,8 +18,10 @@
     StandInClient,
     StandInEndpoint,
     StandInEventStream,
+    call_frame,
     keep_only_pages,
     platform_configuration,
+    serve_frame,
     stream_event,
     wait_for,
 )
@@ -126,3 +129,65 @@
 
 def count_ready(programs):
     return sum(program.has_logged(phase="ready") for program in programs)
+
+
+MEMORY_MB = 32  # the platform's smallest limit
+LARGE_CALL = serve_frame(1, {"route": "order", "trace": "9b1f03aa5c7e2d41"}, bytes(48_000))
+MANY_FIELDS = call_frame("serve", 1, b"\x02\x00\x09\x01" * 15_000 + b"\0")
+LONG_NAMES = b"".join(call_frame("m" * 60_000, number, b"\0") for number in range(1, 301))
+
+
+def peak_resident_mb(process_id):
+    """Return the peak of a process's resident memory in MB of 2**20 bytes."""
+    with open(f"/proc/{process_id}/status") as status:
+        lines = dict(line.split(":", 1) for line in status if ":" in line)
+    return int(lines["VmHWM"].split()[0]) / 1024.0
+
+
+def send_and_stop(connection, data):
+    """Send as much as the director takes, in a thread, and read no answer."""
+
+    def send():
+        with contextlib.suppress(OSError):
+            connection.sendall(data)
+
+    threading.Thread(target=send, daemon=True).start()
+
+
+@pytest.mark.parametrize(
+    ("data", "count"),
+    [
+        pytest.param(LARGE_CALL[:24_000], 100, id="half-of-a-large-request"),
+        pytest.param(MANY_FIELDS[:50_000], 100, id="half-of-many-short-fields"),
+        pytest.param(MANY_FIELDS, 100, id="many-short-fields"),
+        pytest.param(LONG_NAMES, 4, id="unread-replies-to-long-names"),
+    ],
+)
+def test_clients_that_send_and_do_not_read_do_not_exceed_the_memory_limit(
+    data, count, tmp_path, reserve_port
+):
+    # Guards against a process that is killed for its memory while many clients stop in the middle
+    # of large requests, send very many short fields, or do not read.
+    endpoints = [StandInEndpoint(HIT_ANSWER) for _ in ENDPOINTS]
+    client_address = ("127.0.0.1", reserve_port())
+    configuration = keep_only_pages(
+        platform_configuration(
+            [endpoint.address for endpoint in endpoints],
+            listen=f"127.0.0.1:{client_address[1]}",
+            memory_mb=MEMORY_MB,
+        )
+    )
+    configuration["limits"]["sockets"] = 256
+    (file := tmp_path / "config.json").write_text(json.dumps(configuration))
+    with DirectorProcess(file, 256) as program, contextlib.ExitStack() as exit_stack:
+        for _ in range(count):
+            connection = socket.create_connection(client_address, timeout=10.0)
+            exit_stack.enter_context(contextlib.closing(connection))
+            send_and_stop(connection, data)
+        client = exit_stack.enter_context(contextlib.closing(StandInClient(client_address)))
+        for number in range(1, 11):
+            client.send()
+            assert client.read_answer()[:2] == (number, 0)
+        time.sleep(2.0)  # the director reads what it takes
+        assert program.process.poll() is None
+        assert peak_resident_mb(program.process.pid) < MEMORY_MB
